--- /dev/null
+++ b/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/CallerServer.kt
@@ -0,0 +1,269 @@
+package dev.goldcrestquay.http
+
+import dev.goldcrestquay.contract.CallRules
+import dev.goldcrestquay.contract.Outcome
+import dev.goldcrestquay.contract.ResultCode
+import dev.goldcrestquay.contract.Service
+import dev.goldcrestquay.contract.routeIndexFor
+import dev.goldcrestquay.contract.rulesFor
+import dev.goldcrestquay.link.SendAttempt
+import dev.goldcrestquay.link.SendResult
+import dev.goldcrestquay.machine.EntryVm
+import dev.goldcrestquay.routing.Call
+import dev.goldcrestquay.routing.CallKey
+import dev.goldcrestquay.zone.AddressAnswer
+import io.opentelemetry.context.Context
+import io.vertx.core.Vertx
+import io.vertx.core.http.HttpClientResponse
+import io.vertx.core.http.HttpServer
+import io.vertx.core.http.HttpServerOptions
+import io.vertx.core.http.HttpServerRequest
+import io.vertx.kotlin.coroutines.coAwait
+import io.vertx.kotlin.coroutines.dispatcher
+import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.withTimeoutOrNull
+import kotlinx.serialization.json.Json
+import java.io.IOException
+import java.util.concurrent.atomic.AtomicInteger
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.DurationUnit
+
+/**
+ * The port that callers use: `GET /entries?service=NAME` for addresses, `/NAME/path` for a call of a service.
+ *
+ * One instance serves one event loop; instances on the same port share its connections.
+ */
+class CallerServer(
+    private val vertx: Vertx,
+    private val entryVm: EntryVm,
+    private val targets: TargetClient,
+    private val metrics: EntryMetrics,
+    private val tracing: CallTracing,
+) {
+    private val clock = entryVm.clock
+    private val open = AtomicInteger()
+
+    /** The calls in flight. */
+    val openCalls: Int get() = open.get()
+
+    /** Starts listening and returns the port. */
+    suspend fun start(
+        host: String,
+        port: Int,
+    ): HttpServer {
+        val options = HttpServerOptions().setMaxHeaderSize(MAXIMUM_HEADER_BYTES).setTcpNoDelay(true)
+        val server = vertx.createHttpServer(options).requestHandler(::accept)
+        return server.listen(port, host).coAwait()
+    }
+
+    private fun accept(request: HttpServerRequest) {
+        request.pause()
+        if (entryVm.leaving) request.response().putHeader("connection", "close")
+        if (request.path() == ENTRIES_PATH) return answerEntries(request)
+        open.incrementAndGet()
+        val job = CoroutineScope(vertx.dispatcher()).launch { handle(request) }
+        request.response().closeHandler { job.cancel(CallerLeft()) }
+        job.invokeOnCompletion { open.decrementAndGet() }
+    }
+
+    private fun answerEntries(request: HttpServerRequest) {
+        request.resume()
+        val service = request.getParam("service").orEmpty()
+        val answer = entryVm.addresses(service, request.getParam("data-centre"))
+        when {
+            !entryVm.ready -> refuse(request, Outcome.NotRun(ResultCode.NOT_READY))
+            answer == null -> refuse(request, Outcome.NotRun(ResultCode.UNKNOWN_SERVICE))
+            else -> request.response().putHeader("content-type", JSON).end(Json.encodeToString(AddressAnswer.serializer(), answer))
+        }
+    }
+
+    private suspend fun handle(request: HttpServerRequest) {
+        val start = clock()
+        val serviceName = request.path().removePrefix("/").substringBefore('/')
+        val context = tracing.startCall(request, serviceName)
+        val outcome =
+            try {
+                run(request, serviceName, start, context)
+            } catch (_: CancellationException) {
+                Outcome.Unknown(ResultCode.CALL_CANCELLED)
+            }
+        metrics.ended(serviceName, outcome, (clock() - start).toDouble(DurationUnit.SECONDS))
+        tracing.endCall(context, outcome.code?.number ?: 0)
+    }
+
+    private suspend fun run(
+        request: HttpServerRequest,
+        serviceName: String,
+        start: Duration,
+        context: Context,
+    ): Outcome<HttpClientResponse> {
+        val service =
+            entryVm.environments.state.environment
+                ?.service(serviceName)
+        if (service == null) {
+            val code = if (entryVm.environments.state.environment == null) ResultCode.NOT_READY else ResultCode.UNKNOWN_SERVICE
+            return Outcome.NotRun(code).also { refuse(request, it) }
+        }
+        val head = CallHead.read(request, service) ?: return Outcome.NotRun(ResultCode.BAD_REQUEST).also { refuse(request, it) }
+        val body = request.readBody(head.rules.maximumBodyBytes)
+        if (body == null) return Outcome.NotRun(ResultCode.BODY_TOO_LARGE).also { refuse(request, it) }
+        val call = head.toCall(service, start, resendable = body is RequestBody.Kept)
+        val outcome = entryVm.call(call, head.key(body), attempt(request, head.uri, body, context))
+        if (outcome is Outcome.Answered) return deliver(request, outcome, call.deadline)
+        return outcome.also { refuse(request, it) }
+    }
+
+    private fun attempt(
+        request: HttpServerRequest,
+        uri: String,
+        body: RequestBody,
+        context: Context,
+    ): SendAttempt<HttpClientResponse> {
+        val headers = request.headers().entries().map { it.key.lowercase() to it.value }
+        val forwarded = headers.filter { (name, _) -> name !in CallHeaders.HOP_BY_HOP && name !in REPLACED && name != "content-length" }
+        return { target, attempt ->
+            val (span, traceHeaders) = tracing.startAttempt(context, target.name, attempt.number)
+            try {
+                val result = targets.send(target, attempt, TargetRequest(request.method(), uri, forwarded + traceHeaders, body))
+                span.setAttribute("goldcrestquay.result", result.label())
+                result
+            } finally {
+                span.end()
+            }
+        }
+    }
+
+    private suspend fun deliver(
+        request: HttpServerRequest,
+        answered: Outcome.Answered<HttpClientResponse>,
+        deadline: Duration,
+    ): Outcome<HttpClientResponse> {
+        val source = answered.reply
+        val response = request.response()
+        response.setStatusCode(source.statusCode())
+        source.headers().filter { it.key.lowercase() !in CallHeaders.HOP_BY_HOP }.forEach { response.headers().add(it.key, it.value) }
+        response.putHeader(CallHeaders.ENTRY, entryVm.members.self.identity)
+        if (source.getHeader("content-length") == null) response.setChunked(true)
+        var whole = false
+        try {
+            whole = withTimeoutOrNull(deadline - clock()) { pipe(source, request) } ?: false
+        } finally {
+            answered.finish(whole)
+            if (!whole) {
+                source.request().reset()
+                response.reset()
+            }
+        }
+        return if (whole) answered else Outcome.Unknown(ResultCode.ANSWER_TRUNCATED)
+    }
+
+    private suspend fun pipe(
+        source: HttpClientResponse,
+        request: HttpServerRequest,
+    ): Boolean =
+        try {
+            source
+                .pipe()
+                .endOnFailure(false)
+                .to(request.response())
+                .coAwait()
+            true
+        } catch (_: IOException) {
+            false
+        }
+
+    private fun refuse(
+        request: HttpServerRequest,
+        outcome: Outcome<*>,
+    ) {
+        val code = outcome.code ?: return
+        val response = request.response()
+        if (response.ended() || response.closed()) return
+        request.resume()
+        response.setStatusCode(code.httpStatus)
+        response.putHeader("content-type", JSON)
+        response.putHeader(CallHeaders.CODE, code.number.toString())
+        response.putHeader(CallHeaders.ENTRY, entryVm.members.self.identity)
+        if (code in NOT_WORTH_RETRYING) response.putHeader(CallHeaders.NOT_RUN, "exhausted")
+        if (!request.isEnded) response.putHeader("connection", "close")
+        response.end(Json.encodeToString(Refusal.serializer(), Refusal.of(code)))
+    }
+
+    private class CallerLeft : CancellationException("the caller closed the connection")
+
+    private companion object {
+        const val ENTRIES_PATH = "/entries"
+        const val JSON = "application/json"
+        const val MAXIMUM_HEADER_BYTES = 16_384
+        val REPLACED = setOf(CallHeaders.DEADLINE, CallHeaders.ATTEMPTS, CallHeaders.FIRST_ENTRY, "traceparent", "tracestate")
+        val NOT_WORTH_RETRYING =
+            setOf(ResultCode.ATTEMPTS_EXHAUSTED, ResultCode.RETRY_BUDGET_EMPTY, ResultCode.OVERLOADED, ResultCode.NO_TARGET)
+    }
+}
+
+/** What a call's head says, checked. */
+private class CallHead(
+    val rules: CallRules,
+    val uri: String,
+    private val method: String,
+    private val route: Int,
+    private val deadlineMilliseconds: Long,
+    private val attempts: Int,
+    private val idempotencyKey: String?,
+    private val firstEntry: String?,
+) {
+    fun toCall(
+        service: Service,
+        start: Duration,
+        resendable: Boolean,
+    ): Call = Call(service.name, rules.idempotent, start + deadlineMilliseconds.milliseconds, attempts, resendable, route)
+
+    fun key(body: RequestBody): CallKey? {
+        val key = idempotencyKey ?: return null
+        val content = (body as? RequestBody.Kept)?.bytes?.hashCode() ?: 0
+        return CallKey(key, listOf(method, uri, content).hashCode(), firstEntry)
+    }
+
+    companion object {
+        /** Reads the head of [request]; null when a header is malformed. */
+        fun read(
+            request: HttpServerRequest,
+            service: Service,
+        ): CallHead? {
+            val uri = request.uri().removePrefix("/${service.name}").let { if (it.startsWith("/")) it else "/$it" }
+            val path = uri.substringBefore('?')
+            val method = request.method().name()
+            val rules = service.rulesFor(method, path)
+            val deadline = request.number(CallHeaders.DEADLINE, rules.deadlineMilliseconds) ?: return null
+            val attempts = request.number(CallHeaders.ATTEMPTS, Int.MAX_VALUE.toLong()) ?: return null
+            return CallHead(
+                rules = rules,
+                uri = uri,
+                method = method,
+                route = service.routeIndexFor(method, path),
+                deadlineMilliseconds = minOf(deadline, rules.deadlineMilliseconds),
+                attempts = attempts.coerceIn(1, Int.MAX_VALUE.toLong()).toInt(),
+                idempotencyKey = request.getHeader(CallHeaders.IDEMPOTENCY_KEY),
+                firstEntry = request.getHeader(CallHeaders.FIRST_ENTRY),
+            )
+        }
+
+        private fun HttpServerRequest.number(
+            name: String,
+            default: Long,
+        ): Long? {
+            val text = getHeader(name) ?: return default
+            return text.toLongOrNull()?.takeIf { it >= 0 }
+        }
+    }
+}
+
+private fun SendResult<*>.label(): String =
+    when (this) {
+        is SendResult.Replied -> if (failed) "failed" else "answered"
+        is SendResult.Refused -> refusal.name.lowercase()
+        is SendResult.Broken -> "broken"
+    }
--- /dev/null
+++ b/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/PlatformClient.kt
@@ -0,0 +1,123 @@
+package dev.goldcrestquay.http
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.flatMap
+import dev.goldcrestquay.link.LinkFailure
+import dev.goldcrestquay.link.LogBatch
+import dev.goldcrestquay.link.LogEntry
+import dev.goldcrestquay.link.LogLink
+import dev.goldcrestquay.link.VmListLink
+import dev.goldcrestquay.machine.ListedVm
+import io.vertx.core.Vertx
+import io.vertx.core.buffer.Buffer
+import io.vertx.ext.web.client.HttpResponse
+import io.vertx.ext.web.client.WebClient
+import io.vertx.ext.web.client.WebClientOptions
+import io.vertx.kotlin.coroutines.coAwait
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.SerializationException
+import kotlinx.serialization.json.Json
+import java.io.IOException
+import java.net.ConnectException
+
+/** One record in the platform's answer. */
+@Serializable
+data class PlatformRecord(
+    val offset: Long,
+    val text: String,
+)
+
+/** The platform's answer to a read of a stream. */
+@Serializable
+data class PlatformBatch(
+    val oldest: Long,
+    val next: Long,
+    val records: List<PlatformRecord>,
+)
+
+/** The platform's answer to an append. */
+@Serializable
+data class PlatformOffset(
+    val offset: Long,
+)
+
+/** One VM in the platform's list. */
+@Serializable
+data class PlatformVm(
+    val name: String,
+    val dataCentre: String,
+    val peerAddress: String,
+    val leaving: Boolean = false,
+)
+
+/** The platform's log service and VM list over HTTP; [address] is its IP number and port, [stream] the environment's stream. */
+class PlatformClient(
+    vertx: Vertx,
+    address: String,
+    stream: String,
+) {
+    private val client =
+        WebClient.create(
+            vertx,
+            WebClientOptions()
+                .setDefaultHost(address.substringBeforeLast(':'))
+                .setDefaultPort(address.substringAfterLast(':').toInt())
+                .setConnectTimeout(TIMEOUT_MILLISECONDS),
+        )
+    private val path = "/streams/$stream/records"
+
+    /** The log service. */
+    val log: LogLink = LogLink(append = ::append, read = ::read)
+
+    /** The VM list. */
+    val vmList: VmListLink = {
+        fetch { client.get("/vms").send().coAwait() }.parse { text ->
+            json.decodeFromString<List<PlatformVm>>(text).map { ListedVm(it.name, it.dataCentre, it.peerAddress, it.leaving) }
+        }
+    }
+
+    private suspend fun append(record: String): Result<Long, LinkFailure> =
+        fetch { client.post(path).sendBuffer(Buffer.buffer(record)).coAwait() }
+            .parse { json.decodeFromString<PlatformOffset>(it).offset }
+
+    private suspend fun read(from: Long): Result<LogBatch, LinkFailure> =
+        fetch { client.get(path).addQueryParam("from", from.toString()).send().coAwait() }
+            .parse { text ->
+                val batch = json.decodeFromString<PlatformBatch>(text)
+                LogBatch(batch.oldest, batch.next, batch.records.map { LogEntry(it.offset, it.text) })
+            }
+
+    private suspend fun fetch(request: suspend () -> HttpResponse<Buffer>): Result<String, LinkFailure> =
+        try {
+            val response = request()
+            when (response.statusCode()) {
+                OK -> Ok(response.bodyAsString().orEmpty())
+                TOO_MANY_REQUESTS -> Err(LinkFailure.THROTTLED)
+                SERVICE_UNAVAILABLE -> Err(LinkFailure.UNREACHABLE)
+                else -> Err(LinkFailure.REPLY_LOST)
+            }
+        } catch (_: ConnectException) {
+            Err(LinkFailure.UNREACHABLE)
+        } catch (_: IOException) {
+            Err(LinkFailure.REPLY_LOST)
+        }
+
+    private fun <T> Result<String, LinkFailure>.parse(read: (String) -> T): Result<T, LinkFailure> =
+        flatMap { text ->
+            try {
+                Ok(read(text))
+            } catch (_: SerializationException) {
+                Err(LinkFailure.REPLY_LOST)
+            }
+        }
+
+    private companion object {
+        const val TIMEOUT_MILLISECONDS = 1000
+        const val OK = 200
+        const val TOO_MANY_REQUESTS = 429
+        const val SERVICE_UNAVAILABLE = 503
+        val json = Json { ignoreUnknownKeys = true }
+    }
+}
--- /dev/null
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/contract/Outcome.kt
@@ -0,0 +1,56 @@
+package dev.goldcrestquay.contract
+
+/** How a call ended: exactly one of these, whatever failed. */
+public sealed interface Outcome<out Reply> {
+    /**
+     * A target answered.
+     *
+     * @property finish is called once with whether the whole answer reached the caller.
+     */
+    public class Answered<out Reply>(
+        public val reply: Reply,
+        public val target: Target,
+        public val finish: (whole: Boolean) -> Unit,
+    ) : Outcome<Reply>
+
+    /** The call provably never reached a target's application and is safe to send again. */
+    public data class NotRun(
+        val code: ResultCode,
+    ) : Outcome<Nothing>
+
+    /** The call may have run. */
+    public data class Unknown(
+        val code: ResultCode,
+    ) : Outcome<Nothing>
+}
+
+/** The rules that hold for one call, from its route, service and method. */
+public data class CallRules(
+    val idempotent: Boolean,
+    val deadlineMilliseconds: Long,
+    val maximumBodyBytes: Long,
+)
+
+private val IDEMPOTENT_METHODS = setOf("GET", "HEAD", "PUT", "DELETE", "OPTIONS")
+
+/** The rules for a call of [method] on [path]: the longest matching route, then the service's own values. */
+public fun Service.rulesFor(
+    method: String,
+    path: String,
+): CallRules {
+    val route = routes.getOrNull(routeIndexFor(method, path))
+    return CallRules(
+        idempotent = route?.idempotent ?: (method in IDEMPOTENT_METHODS),
+        deadlineMilliseconds = route?.deadlineMilliseconds ?: deadlineMilliseconds,
+        maximumBodyBytes = route?.maximumBodyBytes ?: maximumBodyBytes,
+    )
+}
+
+/** The index of the longest route that matches a call, or -1. */
+public fun Service.routeIndexFor(
+    method: String,
+    path: String,
+): Int =
+    routes.indices
+        .filter { (routes[it].method == "*" || routes[it].method == method) && path.startsWith(routes[it].pathPrefix) }
+        .maxByOrNull { routes[it].pathPrefix.length } ?: -1
--- /dev/null
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/machine/EnvironmentTable.kt
@@ -0,0 +1,118 @@
+package dev.goldcrestquay.machine
+
+import dev.goldcrestquay.contract.EnvironmentState
+import dev.goldcrestquay.contract.LogRecord
+import dev.goldcrestquay.contract.LogRecords
+import dev.goldcrestquay.contract.Snapshot
+import dev.goldcrestquay.link.LogBatch
+import dev.goldcrestquay.link.LogEntry
+import java.util.concurrent.locks.ReentrantLock
+import kotlin.concurrent.withLock
+
+/** What the log holds about snapshots, as far as this reader has seen. */
+public data class SnapshotView(
+    val newestCovered: Long = 0,
+    val staleSeen: Boolean = false,
+)
+
+/**
+ * One entry VM's copy of what the log agreed.
+ *
+ * Offsets count from 1. The copy is complete when every record since the start of the log, or since a state that covers
+ * everything dropped by retention, was taken in.
+ */
+public class EnvironmentTable {
+    private val lock = ReentrantLock()
+    private val pending = sortedMapOf<Long, LogRecord?>()
+    private val recent = ArrayDeque<LogEntry>()
+
+    /** The state in force. */
+    @Volatile
+    public var state: EnvironmentState = EnvironmentState()
+        private set
+
+    /** Whether no record can be missing from [state]. */
+    @Volatile
+    public var complete: Boolean = false
+        private set
+
+    /** What is known of snapshots on the log. */
+    @Volatile
+    public var snapshots: SnapshotView = SnapshotView()
+        private set
+
+    /** The offset to read from next. */
+    @Volatile
+    public var nextOffset: Long = 1
+        private set
+
+    /** Takes in a batch of the log, from the log itself or as a peer relays it. */
+    public fun read(batch: LogBatch): Unit =
+        lock.withLock {
+            if (batch.oldest > nextOffset) nextOffset = batch.oldest
+            if (pending.isEmpty()) complete = batch.oldest <= state.offset + 1
+            for (entry in batch.entries) {
+                if (entry.offset < nextOffset) continue
+                take(entry)
+                nextOffset = entry.offset + 1
+            }
+            nextOffset = maxOf(nextOffset, batch.next)
+        }
+
+    /** Takes in a complete state from a peer; returns whether it was newer than the own one. */
+    public fun adopt(peerState: EnvironmentState): Boolean =
+        lock.withLock {
+            if (peerState.offset <= state.offset && complete) return false
+            if (peerState.offset < state.offset) return false
+            replace(peerState)
+            true
+        }
+
+    /** The records after [offset] that a peer lacks, or null when some of them are no longer kept here. */
+    public fun recordsAfter(offset: Long): LogBatch? =
+        lock.withLock {
+            val first = recent.firstOrNull()?.offset ?: return null
+            if (!complete || offset + 1 < first) return null
+            LogBatch(first, state.offset + 1, recent.filter { it.offset > offset })
+        }
+
+    private fun take(entry: LogEntry) {
+        val record = LogRecords.read(entry.text)
+        if (record is Snapshot) noteSnapshot(record)
+        if (complete) {
+            state = state.after(entry.offset, record)
+            if (record !is Snapshot) remember(entry)
+            return
+        }
+        pending[entry.offset] = record
+        if (record is Snapshot && record.state.offset >= state.offset) replace(record.state)
+    }
+
+    private fun remember(entry: LogEntry) {
+        recent.addLast(entry)
+        if (recent.size > RECENT_RECORDS) recent.removeFirst()
+    }
+
+    /** Starts from [newState] and replays the records read since, when no record is missing in between. */
+    private fun replace(newState: EnvironmentState) {
+        val firstPending = pending.keys.firstOrNull() ?: newState.offset
+        complete = pending.isEmpty() || newState.offset + 1 >= firstPending
+        recent.clear()
+        state = newState
+        if (complete) {
+            state = pending.entries.fold(newState) { current, (offset, record) -> current.after(offset, record) }
+            pending.clear()
+        }
+        nextOffset = maxOf(nextOffset, state.offset + 1)
+    }
+
+    private fun noteSnapshot(record: Snapshot) {
+        val covered = record.state.offset
+        val stale = record.state.generation < state.generation && covered < state.offset
+        snapshots = SnapshotView(maxOf(snapshots.newestCovered, covered), stale)
+    }
+
+    private companion object {
+        const val RECENT_RECORDS = 256
+    }
+}
--- /dev/null
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/machine/ServiceRegistry.kt
@@ -0,0 +1,68 @@
+package dev.goldcrestquay.machine
+
+import dev.goldcrestquay.contract.Environment
+import dev.goldcrestquay.link.EntryLinks
+import dev.goldcrestquay.routing.CallRouter
+import dev.goldcrestquay.routing.RoutingEvent
+import dev.goldcrestquay.routing.ServicePosture
+import dev.goldcrestquay.routing.ServiceTable
+import java.util.concurrent.ConcurrentHashMap
+import kotlin.random.Random
+
+/**
+ * The services that an entry VM has met: those it carries and those that callers with an older answer brought.
+ *
+ * A table is made at the first call, so an entry VM holds no state for services it never sees.
+ */
+public class ServiceRegistry(
+    private val settings: EntrySettings,
+    private val links: EntryLinks,
+    private val random: Random,
+    private val observe: (RoutingEvent) -> Unit,
+) {
+    private class Entry(
+        val table: ServiceTable,
+        val router: CallRouter,
+    )
+
+    private val entries = ConcurrentHashMap<String, Entry>()
+
+    @Volatile
+    private var environment: Environment? = null
+
+    @Volatile
+    private var posture: (String) -> ServicePosture = { ServicePosture() }
+
+    /** The tables by service name. */
+    public val tables: Map<String, ServiceTable> get() = entries.mapValues { it.value.table }
+
+    /** The router of [service], or null when no such service is in force. */
+    public fun routerOf(service: String): CallRouter? = entryOf(service)?.router
+
+    /** The table of [service], or null when no such service is in force. */
+    public fun tableOf(service: String): ServiceTable? = entryOf(service)?.table
+
+    /** Puts a document in force. */
+    public fun update(newEnvironment: Environment?) {
+        if (newEnvironment === environment) return
+        environment = newEnvironment
+        entries.keys.removeIf { newEnvironment?.service(it) == null }
+        entries.forEach { (name, entry) -> newEnvironment?.service(name)?.takeIf { it != entry.table.service }?.let(entry.table::update) }
+    }
+
+    /** Puts what the fleet decided about each service in force. */
+    public fun posture(newPosture: (String) -> ServicePosture) {
+        posture = newPosture
+        entries.forEach { (name, entry) -> entry.table.posture(newPosture(name)) }
+    }
+
+    private fun entryOf(name: String): Entry? {
+        entries[name]?.let { return it }
+        val service = environment?.service(name) ?: return null
+        return entries.computeIfAbsent(name) {
+            val table = ServiceTable(service, settings.routing, links.clock, random, networkRoundTrip = links.networkRoundTrip)
+            table.posture(posture(name))
+            Entry(table, CallRouter(table, settings.routing, links.clock, observe))
+        }
+    }
+}
--- /dev/null
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/move/MoveController.kt
@@ -0,0 +1,164 @@
+package dev.goldcrestquay.move
+
+import dev.goldcrestquay.contract.EnvironmentState
+import dev.goldcrestquay.contract.LogRecord
+import dev.goldcrestquay.contract.Move
+import dev.goldcrestquay.contract.MoveAdvance
+import dev.goldcrestquay.contract.MoveState
+import dev.goldcrestquay.contract.Service
+import dev.goldcrestquay.contract.Verdict
+import dev.goldcrestquay.contract.VerdictKind
+import dev.goldcrestquay.contract.parseInstant
+import dev.goldcrestquay.link.Clock
+import dev.goldcrestquay.link.WallClock
+import dev.goldcrestquay.routing.VersionShare
+import java.util.concurrent.locks.ReentrantLock
+import kotlin.concurrent.withLock
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/** A move that an entry VM stopped before the log holds a verdict. */
+public data class MoveStop(
+    val move: String,
+    val started: Long,
+    val reason: String,
+)
+
+/**
+ * Decides about version moves at one entry VM.
+ *
+ * Taking back needs no agreement: the entry VM stops the version on the fleet's evidence, tells its peers, and then records the
+ * verdict. Advancing and finishing is done by the holder of the service's lease alone. The first verdict on the log counts.
+ */
+public class MoveController(
+    private val identity: String,
+    private val evidence: EvidenceTable,
+    private val clock: Clock,
+    private val wallClock: WallClock,
+) {
+    private val lock = ReentrantLock()
+    private val stops = mutableMapOf<Pair<String, Long>, MoveStop>()
+    private val stepSince = mutableMapOf<Triple<String, Long, Int>, Duration>()
+    private val lastAppend = mutableMapOf<String, Duration>()
+
+    /** The moves stopped here that have no verdict yet. */
+    public fun stops(): List<MoveStop> = lock.withLock { stops.values.toList() }
+
+    /** Takes in the stops of a peer. */
+    public fun merge(peerStops: List<MoveStop>): Unit = lock.withLock { peerStops.forEach { stops.putIfAbsent(it.move to it.started, it) } }
+
+    /** The split of [service]'s calls under [state]. */
+    public fun share(
+        state: EnvironmentState,
+        service: String,
+    ): VersionShare? {
+        val move = state.environment?.moveOf(service) ?: return null
+        val progress = state.moves[move.name] ?: return null
+        val stopped = lock.withLock { (move.name to progress.started) in stops }
+        val share =
+            when (progress.verdict?.kind) {
+                VerdictKind.FINISHED -> 1.0
+                VerdictKind.TAKEN_BACK -> 0.0
+                null -> if (stopped) 0.0 else move.steps[progress.step].sharePercent / PERCENT
+            }
+        return VersionShare(move.fromVersion, move.toVersion, share)
+    }
+
+    /** Judges every open move and returns the records to append; [heldUntil] tells until when a service's lease is held here. */
+    public fun decide(
+        state: EnvironmentState,
+        heldUntil: (String) -> Duration,
+    ): List<LogRecord> =
+        lock.withLock {
+            val open = openMoves(state)
+            evidence.retain(open.map { (move, progress) -> move.name to progress.started }.toSet())
+            stops.keys.retainAll(open.map { (move, progress) -> move.name to progress.started }.toSet())
+            open.mapNotNull { (move, progress) -> decide(state, move, progress, heldUntil) }
+        }
+
+    private fun openMoves(state: EnvironmentState): List<Pair<Move, MoveState>> =
+        state.environment
+            ?.moves
+            .orEmpty()
+            .mapNotNull { move -> state.moves[move.name]?.let { move to it } }
+            .filter { (_, progress) -> progress.verdict == null }
+
+    private fun decide(
+        state: EnvironmentState,
+        move: Move,
+        progress: MoveState,
+        heldUntil: (String) -> Duration,
+    ): LogRecord? {
+        val service = state.environment?.service(move.service) ?: return null
+        val key = move.name to progress.started
+        val judgement = judgement(move, progress, service)
+        val reason = (judgement as? Judgement.Faulty)?.reason ?: "the deadline ${move.deadline} came first".takeIf { isLate(move) }
+        if (reason != null) stops.putIfAbsent(key, MoveStop(move.name, progress.started, reason))
+        val stop = stops[key]
+        val now = clock()
+        val holds = heldUntil(move.service) > now + APPEND_ALLOWANCE
+        return when {
+            stop != null -> paced(move, Verdict(move.name, progress.started, VerdictKind.TAKEN_BACK, stop.reason, identity))
+            holds && judgement == Judgement.Healthy && held(move, progress, now) -> paced(move, nextRecord(move, progress, service))
+            else -> null
+        }
+    }
+
+    private fun judgement(
+        move: Move,
+        progress: MoveState,
+        service: Service,
+    ): Judgement {
+        val versionOf = service.targets.associate { it.name to it.version }
+        val counts = evidence.sum(move.name, progress.started)
+        val old = counts.filterKeys { versionOf[it.target] == move.fromVersion }
+        val new = counts.filterKeys { versionOf[it.target] == move.toVersion }
+        return judge(move.evidence, old, new)
+    }
+
+    private fun isLate(move: Move): Boolean {
+        val deadline = parseInstant(move.deadline)?.toEpochMilli() ?: return false
+        return wallClock() >= deadline - VERDICT_ALLOWANCE.inWholeMilliseconds
+    }
+
+    private fun held(
+        move: Move,
+        progress: MoveState,
+        now: Duration,
+    ): Boolean {
+        val since = stepSince.getOrPut(Triple(move.name, progress.started, progress.step)) { now }
+        return now - since >= move.steps[progress.step].holdMilliseconds.milliseconds
+    }
+
+    private fun nextRecord(
+        move: Move,
+        progress: MoveState,
+        service: Service,
+    ): LogRecord? {
+        val last = progress.step == move.steps.lastIndex
+        if (!last) return MoveAdvance(move.name, progress.started, progress.step + 1)
+        val slots = service.targets.filter { it.version == move.toVersion }.sumOf { it.slots }
+        val reason = "the full share was held for ${move.steps.last().holdMilliseconds} ms on $slots slots"
+        return Verdict(move.name, progress.started, VerdictKind.FINISHED, reason, identity)
+    }
+
+    /** Spaces repeated appends for one move, since the log may take a while to show the first. */
+    private fun paced(
+        move: Move,
+        record: LogRecord?,
+    ): LogRecord? {
+        val now = clock()
+        val last = lastAppend[move.name]
+        if (last != null && now - last < APPEND_PAUSE) return null
+        lastAppend[move.name] = now
+        return record
+    }
+
+    private companion object {
+        const val PERCENT = 100.0
+        val APPEND_ALLOWANCE = 2.seconds
+        val APPEND_PAUSE = 1.seconds
+        val VERDICT_ALLOWANCE = 2.seconds
+    }
+}
--- /dev/null
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/routing/AttemptTable.kt
@@ -0,0 +1,125 @@
+package dev.goldcrestquay.routing
+
+import dev.goldcrestquay.contract.ResultCode
+import dev.goldcrestquay.link.Clock
+import dev.goldcrestquay.link.KeyAnswer
+import dev.goldcrestquay.link.KeyFate
+import dev.goldcrestquay.link.KeyQuestion
+import kotlinx.coroutines.CompletableDeferred
+import java.util.concurrent.locks.ReentrantLock
+import kotlin.concurrent.withLock
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.minutes
+
+/** Whether a keyed attempt may start at this entry VM. */
+public sealed interface AttemptStart {
+    /** It may; [AttemptTable.end] must follow. */
+    public data object Started : AttemptStart
+
+    /** It may not. */
+    public data class Refused(
+        val code: ResultCode,
+    ) : AttemptStart
+
+    /** An attempt with the same key is running or ended here. */
+    public class Earlier internal constructor(
+        internal val end: CompletableDeferred<Boolean>,
+    ) : AttemptStart
+}
+
+/**
+ * The keyed attempts of non-idempotent calls at one entry VM.
+ *
+ * A repeat at another entry VM asks this table about the first attempt. An attempt that was never seen is fenced: if it still
+ * arrives it is refused as not run.
+ *
+ * @property retention how long an ended or fenced key is kept.
+ * @property capacity the most keys kept; beyond it new keys are refused as not run.
+ */
+public class AttemptTable(
+    private val clock: Clock,
+    private val retention: Duration = 10.minutes,
+    private val capacity: Int = 100_000,
+) {
+    private class Entry(
+        val fingerprint: Int?,
+        val end: CompletableDeferred<Boolean>,
+        var fencedBy: String? = null,
+        var expires: Duration = Duration.INFINITE,
+    )
+
+    private val lock = ReentrantLock()
+    private val entries = linkedMapOf<Pair<String, String>, Entry>()
+
+    /** The number of keys kept. */
+    public val size: Int get() = lock.withLock { entries.size }
+
+    /** Starts an attempt under [key]; [fingerprint] tells calls apart that wrongly share a key. */
+    public fun start(
+        service: String,
+        key: String,
+        fingerprint: Int,
+    ): AttemptStart =
+        lock.withLock {
+            expire()
+            val known = entries[service to key]
+            when {
+                known == null && entries.size >= capacity -> AttemptStart.Refused(ResultCode.KEYS_FULL)
+                known == null -> {
+                    entries[service to key] = Entry(fingerprint, CompletableDeferred())
+                    AttemptStart.Started
+                }
+                known.fencedBy != null -> AttemptStart.Refused(ResultCode.KEY_FENCED)
+                known.fingerprint != fingerprint -> AttemptStart.Refused(ResultCode.KEY_REUSED)
+                else -> AttemptStart.Earlier(known.end)
+            }
+        }
+
+    /** Ends an attempt that [mayHaveRun] or provably did not. */
+    public fun end(
+        service: String,
+        key: String,
+        mayHaveRun: Boolean,
+    ): Unit =
+        lock.withLock {
+            val entry = entries[service to key] ?: return
+            if (!mayHaveRun && entry.fencedBy == null) entries.remove(service to key) else entry.expires = clock() + retention
+            entry.end.complete(mayHaveRun)
+        }
+
+    /** Waits for an earlier attempt here; returns whether it may have run. */
+    public suspend fun await(earlier: AttemptStart.Earlier): Boolean = earlier.end.await()
+
+    /** Answers another entry VM's question; waits while the attempt is running. */
+    public suspend fun answer(question: KeyQuestion): KeyAnswer {
+        val entry = fenceOrFind(question)
+        val other = lock.withLock { entry.fencedBy }
+        if (entry.fingerprint == null) return if (other == question.asker) KeyAnswer(KeyFate.FENCED) else KeyAnswer(KeyFate.FENCED_BY_OTHER, other)
+        if (entry.end.await()) return KeyAnswer(KeyFate.RAN)
+        return afterNotRun(question)
+    }
+
+    /** An attempt that ended without running left no entry: the asker fences the key unless another did first. */
+    private fun afterNotRun(question: KeyQuestion): KeyAnswer {
+        val entry = fenceOrFind(question)
+        val other = lock.withLock { entry.fencedBy }
+        return when (other) {
+            question.asker -> KeyAnswer(KeyFate.NOT_RUN)
+            null -> KeyAnswer(KeyFate.RAN)
+            else -> KeyAnswer(KeyFate.FENCED_BY_OTHER, other)
+        }
+    }
+
+    private fun fenceOrFind(question: KeyQuestion): Entry =
+        lock.withLock {
+            expire()
+            entries.getOrPut(question.service to question.key) {
+                Entry(null, CompletableDeferred(false), question.asker, clock() + retention)
+            }
+        }
+
+    private fun expire() {
+        val now = clock()
+        entries.values.removeIf { it.expires < now }
+    }
+}
--- /dev/null
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/routing/CallRouter.kt
@@ -0,0 +1,168 @@
+package dev.goldcrestquay.routing
+
+import dev.goldcrestquay.contract.Outcome
+import dev.goldcrestquay.contract.ResultCode
+import dev.goldcrestquay.link.Attempt
+import dev.goldcrestquay.link.Clock
+import dev.goldcrestquay.link.Refusal
+import dev.goldcrestquay.link.SendAttempt
+import dev.goldcrestquay.link.SendResult
+import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.withTimeoutOrNull
+import java.util.concurrent.atomic.AtomicBoolean
+import kotlin.time.Duration
+import kotlin.time.DurationUnit
+
+/**
+ * What the router must know of a call.
+ *
+ * @property idempotent whether the call may run twice.
+ * @property deadline the time on the router's clock by which the answer must be there.
+ * @property attempts the sendings that hops before this one left to it.
+ * @property route the index of the service's route that the call matches.
+ * @property resendable whether the request can be sent again, its body being kept.
+ */
+public data class Call(
+    val service: String,
+    val idempotent: Boolean,
+    val deadline: Duration,
+    val attempts: Int = Int.MAX_VALUE,
+    val resendable: Boolean = true,
+    val route: Int = NO_ROUTE,
+)
+
+/** The route index of calls that match no route of their service. */
+public const val NO_ROUTE: Int = -1
+
+/**
+ * Sends calls to chosen targets and decides about repeats.
+ *
+ * A call that is not idempotent is sent again only after a refusal that proves it did not run.
+ *
+ * @property observe is told of every decision, for metrics and spans.
+ */
+public class CallRouter(
+    private val table: ServiceTable,
+    private val settings: RoutingSettings,
+    private val clock: Clock,
+    private val observe: (RoutingEvent) -> Unit = {},
+) {
+    private val budget = RetryBudget(settings.retryShare, settings.retryReserve)
+
+    /** Runs [call] through [send] and returns how it ended. */
+    public suspend fun <Reply> call(
+        call: Call,
+        send: SendAttempt<Reply>,
+    ): Outcome<Reply> {
+        budget.called()
+        val attempts = minOf(settings.attempts, call.attempts).coerceAtLeast(1)
+        val tried = mutableSetOf<String>()
+        var number = 1
+        var mayHaveRun: ResultCode? = null
+        while (true) {
+            val choice = table.reserve(call.deadline - clock(), tried)
+            if (choice is Choice.Refused) return refused(call, codeFor(choice, tried), mayHaveRun)
+            val ticket = choice as Choice.Reserved
+            val attempt = Attempt(number, call.deadline - clock(), attempts - number)
+            observe(RoutingEvent.Sent(call.service, ticket.target, attempt, ticket.expectedWait))
+            val result = send(ticket, call, attempt, send) ?: return Outcome.Unknown(ResultCode.DEADLINE_EXCEEDED)
+            val outcome = conclude(result, ticket, call, number, attempts)
+            if (outcome is Outcome.NotRun) return refused(call, outcome.code, mayHaveRun)
+            if (outcome != null) return outcome
+            if (result is SendResult.Broken) mayHaveRun = result.code
+            observe(RoutingEvent.Retried(call.service, ticket.target))
+            tried += ticket.target.name
+            number++
+        }
+    }
+
+    /** A call is refused as not run only when none of its attempts may have run. */
+    private fun refused(
+        call: Call,
+        code: ResultCode,
+        mayHaveRun: ResultCode?,
+    ): Outcome<Nothing> {
+        observe(RoutingEvent.Refused(call.service, mayHaveRun ?: code))
+        return mayHaveRun?.let { Outcome.Unknown(it) } ?: Outcome.NotRun(code)
+    }
+
+    private suspend fun <Reply> send(
+        ticket: Choice.Reserved,
+        call: Call,
+        attempt: Attempt,
+        send: SendAttempt<Reply>,
+    ): SendResult<Reply>? {
+        val result =
+            try {
+                withTimeoutOrNull(attempt.remaining) { send(ticket.target, attempt) }
+            } catch (exception: CancellationException) {
+                table.complete(ticket, AttemptEnd.Cancelled)
+                throw exception
+            }
+        if (result == null) broken(ticket, call)
+        return result
+    }
+
+    /** Concludes the call, or returns null when it is to be sent again. */
+    private fun <Reply> conclude(
+        result: SendResult<Reply>,
+        ticket: Choice.Reserved,
+        call: Call,
+        number: Int,
+        attempts: Int,
+    ): Outcome<Reply>? =
+        when (result) {
+            is SendResult.Replied -> answered(result, ticket, call)
+            is SendResult.Refused -> {
+                table.complete(ticket, AttemptEnd.Refused(result.refusal, result.report))
+                val again = result.refusal != Refusal.EXHAUSTED && call.resendable && number < attempts
+                when {
+                    !again -> Outcome.NotRun(ResultCode.ATTEMPTS_EXHAUSTED)
+                    budget.take() -> null
+                    else -> Outcome.NotRun(ResultCode.RETRY_BUDGET_EMPTY)
+                }
+            }
+            is SendResult.Broken -> {
+                broken(ticket, call)
+                val again = call.idempotent && call.resendable && number < attempts && call.deadline > clock()
+                if (again && budget.take()) null else Outcome.Unknown(result.code)
+            }
+        }
+
+    private fun <Reply> answered(
+        result: SendResult.Replied<Reply>,
+        ticket: Choice.Reserved,
+        call: Call,
+    ): Outcome.Answered<Reply> {
+        val finished = AtomicBoolean()
+        return Outcome.Answered(result.reply, ticket.target) { whole ->
+            if (finished.compareAndSet(false, true)) {
+                val end = if (whole) AttemptEnd.Answered(result.failed, result.report) else AttemptEnd.Broken
+                table.complete(ticket, end)
+                ended(ticket, call, failed = result.failed || !whole)
+            }
+        }
+    }
+
+    private fun broken(
+        ticket: Choice.Reserved,
+        call: Call,
+    ) {
+        table.complete(ticket, AttemptEnd.Broken)
+        ended(ticket, call, failed = true)
+    }
+
+    private fun ended(
+        ticket: Choice.Reserved,
+        call: Call,
+        failed: Boolean,
+    ) {
+        val milliseconds = clock().toDouble(DurationUnit.MILLISECONDS) - ticket.sentAt
+        observe(RoutingEvent.Ended(call.service, ticket.target, call.route, failed, milliseconds))
+    }
+
+    private fun codeFor(
+        choice: Choice.Refused,
+        tried: Set<String>,
+    ): ResultCode = if (tried.isNotEmpty() && choice.code == ResultCode.NO_TARGET) ResultCode.ATTEMPTS_EXHAUSTED else choice.code
+}
--- /dev/null
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/routing/ServiceTable.kt
@@ -0,0 +1,324 @@
+package dev.goldcrestquay.routing
+
+import dev.goldcrestquay.contract.ResultCode
+import dev.goldcrestquay.contract.Service
+import dev.goldcrestquay.contract.Target
+import dev.goldcrestquay.link.Clock
+import dev.goldcrestquay.link.LoadReport
+import dev.goldcrestquay.link.Refusal
+import dev.goldcrestquay.machine.Warmth
+import dev.goldcrestquay.machine.cold
+import java.util.concurrent.locks.ReentrantLock
+import kotlin.concurrent.withLock
+import kotlin.random.Random
+import kotlin.time.Duration
+import kotlin.time.DurationUnit
+
+/**
+ * What the fleet decides about a service, as one entry VM sees it.
+ *
+ * @property leaseUntil the time on this entry VM's clock until which it may use the service's cold targets.
+ * @property share the split of a move under way.
+ * @property dataCentresOut the data centres that take no new work.
+ * @property connectionShare the part of each target's connections that this entry VM may open.
+ */
+public data class ServicePosture(
+    val leaseUntil: Duration = Duration.INFINITE,
+    val share: VersionShare? = null,
+    val dataCentresOut: Set<String> = emptySet(),
+    val connectionShare: Double = 1.0,
+)
+
+/** The outcome of a choice. */
+public sealed interface Choice {
+    /** A place at a target is taken until [ServiceTable.complete] is called with this ticket. */
+    public class Reserved internal constructor(
+        public val state: TargetState,
+        public val target: Target,
+        internal val sentAt: Double,
+        internal val serviceStart: Double,
+        public val expectedWait: Double,
+    ) : Choice
+
+    /** No target may take the call now. */
+    public data class Refused(
+        val code: ResultCode,
+    ) : Choice
+}
+
+/** How a reserved attempt ended. */
+public sealed interface AttemptEnd {
+    /** The target answered. */
+    public data class Answered(
+        val failed: Boolean,
+        val report: LoadReport? = null,
+    ) : AttemptEnd
+
+    /** The target refused without running the call. */
+    public data class Refused(
+        val refusal: Refusal,
+        val report: LoadReport? = null,
+    ) : AttemptEnd
+
+    /** No answer came. */
+    public data object Broken : AttemptEnd
+
+    /** The caller left or another attempt won. */
+    public data object Cancelled : AttemptEnd
+}
+
+/** One target as status pages show it. */
+public data class TargetView(
+    val target: Target,
+    val inFlight: Int,
+    val warmth: Warmth?,
+    val ejected: Boolean,
+    val draining: Boolean,
+    val serviceTimeMilliseconds: Double,
+)
+
+/**
+ * The targets of one service at one entry VM and the choice among them.
+ *
+ * One lock guards the table; a choice and its reservation are one step under it, so that concurrent calls do not pick the same free slot.
+ */
+public class ServiceTable(
+    service: Service,
+    private val settings: RoutingSettings,
+    private val clock: Clock,
+    private val random: Random,
+    private val policy: TargetPolicy = TargetPolicies.earliestAnswer(settings),
+    private val networkRoundTrip: (Target) -> Duration = { Duration.ZERO },
+) {
+    private val lock = ReentrantLock()
+    private var states = service.targets.map { newState(it) }
+    private val quota = VersionQuota()
+    private var posture = ServicePosture()
+    private var serviceMean = settings.initialServiceTime.toDouble(DurationUnit.MILLISECONDS)
+    private var othersMean = 0.0
+
+    /** The service as the document in force describes it. */
+    @Volatile
+    public var service: Service = service
+        private set
+
+    /** Takes in a new version of the service; what is known of targets that stay is kept. */
+    public fun update(newService: Service): Unit =
+        lock.withLock {
+            val known = states.associateBy { it.target.name to it.target.address }
+            service = newService
+            states = newService.targets.map { target -> known[target.name to target.address]?.also { it.target = target } ?: addedState(target) }
+            applyConnectionShare()
+        }
+
+    /** Takes in what the fleet decided; targets of a data centre that comes back start cold. */
+    public fun posture(newPosture: ServicePosture): Unit =
+        lock.withLock {
+            val returning = posture.dataCentresOut - newPosture.dataCentresOut
+            posture = newPosture
+            quota.share(newPosture.share)
+            states.filter { it.target.dataCentre in returning }.forEach { it.warmth = it.target.cold(it.warmth?.startEpoch ?: UNKNOWN_EPOCH) }
+            applyConnectionShare()
+        }
+
+    /** Chooses a target for a call that may wait [remaining] and avoids [tried]; reserves a place there. */
+    public fun reserve(
+        remaining: Duration,
+        tried: Set<String> = emptySet(),
+    ): Choice =
+        lock.withLock {
+            val now = now()
+            if (remaining <= Duration.ZERO) return Choice.Refused(ResultCode.DEADLINE_PASSED)
+            val usable = usable(now, remaining, tried)
+            if (usable.isEmpty()) return Choice.Refused(refusalWithoutTarget(now))
+            val candidates = usable.map { candidate(it, now) }
+            val chosen = candidates[policy(candidates, random)]
+            if (chosen.wait > waitLimit(remaining, chosen)) return Choice.Refused(ResultCode.OVERLOADED)
+            reserve(chosen, now)
+        }
+
+    /** Gives back the place of [ticket] and learns from how the attempt ended. */
+    public fun complete(
+        ticket: Choice.Reserved,
+        end: AttemptEnd,
+    ): Unit =
+        lock.withLock {
+            val now = now()
+            val state = ticket.state
+            val serviceEnd = now - state.network
+            val informative = end is AttemptEnd.Broken || (end is AttemptEnd.Answered && !end.failed)
+            state.ended(serviceEnd, ticket.serviceStart, informative)
+            when (end) {
+                is AttemptEnd.Answered -> answered(state, ticket, end, now)
+                is AttemptEnd.Refused -> refused(state, end, now)
+                AttemptEnd.Broken -> state.fault(now)
+                AttemptEnd.Cancelled -> state.ejection.undecided()
+            }
+        }
+
+    /** Takes in what a probe of [targetName] brought. */
+    public fun probed(
+        targetName: String,
+        report: LoadReport,
+    ): Unit = lock.withLock { states.firstOrNull { it.target.name == targetName }?.let { learn(it, report, now()) } }
+
+    /** Takes in from a peer that [targetName] is warm or cold in the start named by [warmth]. */
+    public fun warmth(
+        targetName: String,
+        warmth: Warmth,
+    ): Unit =
+        lock.withLock {
+            val state = states.firstOrNull { it.target.name == targetName } ?: return
+            val known = state.warmth
+            val sameStart = known?.startEpoch == warmth.startEpoch
+            val news = known == null || warmth.startEpoch > known.startEpoch || (sameStart && warmth is Warmth.Warm)
+            if (news) state.warmth = warmth
+        }
+
+    /** The targets whose last report is older than [age], for the prober. */
+    public fun targetsWithoutReport(age: Duration): List<Target> =
+        lock.withLock {
+            val now = now()
+            states.filter { it.reportAge(now) > age.toDouble(DurationUnit.MILLISECONDS) }.map { it.target }
+        }
+
+    /** Whether a target is cold or has not been heard of for [silence], so that the service needs a lease holder. */
+    public fun needsCare(silence: Duration): Boolean =
+        lock.withLock {
+            val now = now()
+            states.any { it.warmth is Warmth.Cold || it.reportAge(now) > silence.toDouble(DurationUnit.MILLISECONDS) }
+        }
+
+    /** The warmth of targets that are cold or turned warm a short while ago, for peers. */
+    public fun warmthNews(): List<Pair<String, Warmth>> =
+        lock.withLock {
+            val now = now()
+            states.mapNotNull { state -> state.warmthNews(now)?.let { state.target.name to it } }
+        }
+
+    /** All targets as status pages show them. */
+    public fun view(): List<TargetView> =
+        lock.withLock {
+            val now = now()
+            states.map {
+                TargetView(it.target, it.inFlight, it.warmth, !it.ejection.allows(now), it.draining(now), it.serviceTime(now, serviceMean))
+            }
+        }
+
+    private fun newState(target: Target): TargetState =
+        TargetState(target, networkRoundTrip(target).toDouble(DurationUnit.MILLISECONDS), target.connections, settings)
+
+    /** A target that joins a running service may have just started, so it is cold until it says otherwise. */
+    private fun addedState(target: Target): TargetState = newState(target).also { it.warmth = target.cold(UNKNOWN_EPOCH) }
+
+    private fun applyConnectionShare() =
+        states.forEach { it.limit.ceiling((it.target.connections * posture.connectionShare).toInt().coerceAtLeast(1)) }
+
+    private fun now(): Double = clock().toDouble(DurationUnit.MILLISECONDS)
+
+    private fun usable(
+        now: Double,
+        remaining: Duration,
+        tried: Set<String>,
+    ): List<TargetState> {
+        val open = states.filter { it.target.dataCentre !in posture.dataCentresOut && !it.draining(now) && !it.connectionLimited }
+        val mayWarm = clock() + remaining <= posture.leaseUntil
+        val bearable = open.filter { it.target.name !in tried && bears(it, mayWarm) }
+        val ofVersion = bearable.ofDrawnVersion()
+        val healthy = ofVersion.filter { it.ejection.allows(now) }
+        val total = ofVersion.size
+        val enough = healthy.isNotEmpty() && healthy.size >= total * settings.minimumHealthyShare
+        return if (enough) healthy else ofVersion
+    }
+
+    private fun List<TargetState>.ofDrawnVersion(): List<TargetState> {
+        val version = quota.draw() ?: return this
+        val drawn = filter { it.target.version == version }
+        return drawn.ifEmpty { filter { quota.allows(it.target.version) } }
+    }
+
+    private fun bears(
+        state: TargetState,
+        mayWarm: Boolean,
+    ): Boolean {
+        val cold = state.warmth as? Warmth.Cold ?: return true
+        return mayWarm && state.inFlight < cold.allowance
+    }
+
+    private fun refusalWithoutTarget(now: Double): ResultCode {
+        val busy = states.any { it.connectionLimited && it.target.dataCentre !in posture.dataCentresOut && !it.draining(now) }
+        return if (busy) ResultCode.OVERLOADED else ResultCode.NO_TARGET
+    }
+
+    private fun candidate(
+        state: TargetState,
+        now: Double,
+    ): Candidate {
+        val others = state.others(now, othersMean)
+        val serviceTime = state.serviceTime(now, serviceMean)
+        val utilisation = (state.inFlight + others) / state.target.slots
+        return Candidate(state, state.expectedWait(others, serviceTime), serviceTime, state.network, utilisation)
+    }
+
+    private fun waitLimit(
+        remaining: Duration,
+        chosen: Candidate,
+    ): Double {
+        val left = remaining.toDouble(DurationUnit.MILLISECONDS) - chosen.network - chosen.serviceTime
+        return left.coerceAtMost(settings.maximumWait.toDouble(DurationUnit.MILLISECONDS))
+    }
+
+    private fun reserve(
+        chosen: Candidate,
+        now: Double,
+    ): Choice.Reserved {
+        val serviceStart = now + chosen.wait
+        chosen.state.sent(serviceStart)
+        quota.sent(chosen.state.target.version)
+        return Choice.Reserved(chosen.state, chosen.state.target, now, serviceStart, chosen.wait)
+    }
+
+    private fun answered(
+        state: TargetState,
+        ticket: Choice.Reserved,
+        end: AttemptEnd.Answered,
+        now: Double,
+    ) {
+        end.report?.let { learn(state, it, now) }
+        if (end.failed) return state.fault(now)
+        state.goodAnswer(now)
+        val sample = (now - state.network - ticket.serviceStart).coerceAtLeast(0.0)
+        val bounded = sample.coerceAtMost(serviceMean * MEAN_SAMPLE_BOUND)
+        serviceMean += (bounded - serviceMean) * MEAN_WEIGHT
+    }
+
+    private fun refused(
+        state: TargetState,
+        end: AttemptEnd.Refused,
+        now: Double,
+    ) {
+        end.report?.let { learn(state, it, now) }
+        when (end.refusal) {
+            Refusal.DRAINING -> state.drain(now)
+            Refusal.SHEDDING -> state.limit.shed(state.inFlight + 1)
+            Refusal.CONNECTION_REFUSED -> state.fault(now)
+            Refusal.EXHAUSTED -> Unit
+        }
+        if (end.refusal != Refusal.CONNECTION_REFUSED) state.ejection.undecided()
+    }
+
+    private fun learn(
+        state: TargetState,
+        report: LoadReport,
+        now: Double,
+    ) {
+        state.report(now, report)
+        val others = state.others(now, othersMean)
+        othersMean += (others - othersMean) * MEAN_WEIGHT
+    }
+
+    private companion object {
+        const val MEAN_WEIGHT = 0.01
+        const val MEAN_SAMPLE_BOUND = 20.0
+    }
+}
--- /dev/null
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/routing/ServiceTimeEstimate.kt
@@ -0,0 +1,65 @@
+package dev.goldcrestquay.routing
+
+import kotlin.math.exp
+
+/**
+ * Estimates a target's mean service time from its answers and from the age of calls that have not been answered yet.
+ *
+ * Unanswered calls count as censored observations, so a target that stops answering looks slow before its first late answer.
+ * All times are in milliseconds.
+ */
+internal class ServiceTimeEstimate(
+    private val memoryMilliseconds: Double,
+    private val priorCalls: Double,
+) {
+    private var observedTime = 0.0
+    private var observedCalls = 0.0
+    private var decayedAt = 0.0
+    private var openCalls = 0
+    private var openSince = 0.0
+
+    /** Counts a call whose service is expected to begin at [serviceStart]. */
+    fun opened(serviceStart: Double) {
+        openCalls++
+        openSince += serviceStart
+    }
+
+    /** Counts the end of a call opened with [serviceStart]; [answered] is false when it says nothing of the service time. */
+    fun closed(
+        now: Double,
+        serviceStart: Double,
+        answered: Boolean,
+    ) {
+        openCalls--
+        openSince -= serviceStart
+        if (openCalls == 0) openSince = 0.0
+        if (!answered) return
+        decay(now)
+        observedTime += (now - serviceStart).coerceAtLeast(MINIMUM_SAMPLE)
+        observedCalls += 1.0
+    }
+
+    /** The mean service time, drawn towards [serviceMean] while there are few observations. */
+    fun mean(
+        now: Double,
+        serviceMean: Double,
+    ): Double {
+        decay(now)
+        val openTime = (openCalls * now - openSince).coerceAtLeast(0.0)
+        return (priorCalls * serviceMean + observedTime + openTime) / (priorCalls + observedCalls)
+    }
+
+    private fun decay(now: Double) {
+        val elapsed = now - decayedAt
+        if (elapsed < DECAY_STEP) return
+        val factor = exp(-elapsed / memoryMilliseconds)
+        observedTime *= factor
+        observedCalls *= factor
+        decayedAt = now
+    }
+
+    private companion object {
+        const val MINIMUM_SAMPLE = 0.01
+        const val DECAY_STEP = 1.0
+    }
+}
--- /dev/null
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/routing/TargetPolicy.kt
@@ -0,0 +1,75 @@
+package dev.goldcrestquay.routing
+
+import kotlin.random.Random
+
+/**
+ * One target that may take a call.
+ *
+ * @property wait the expected wait for a slot, in milliseconds.
+ * @property serviceTime the expected service time, in milliseconds.
+ * @property network the round trip, in milliseconds.
+ * @property utilisation the estimated calls at the target for each slot.
+ */
+public class Candidate(
+    public val state: TargetState,
+    public val wait: Double,
+    public val serviceTime: Double,
+    public val network: Double,
+    public val utilisation: Double,
+)
+
+/** Chooses among candidates; returns an index into the list, which is never empty. */
+public typealias TargetPolicy = (List<Candidate>, Random) -> Int
+
+/** The policies that measurements compare. */
+public object TargetPolicies {
+    /** Any target with equal chance. */
+    public val random: TargetPolicy = { candidates, random -> random.nextInt(candidates.size) }
+
+    /** Each target in turn. */
+    public fun roundRobin(): TargetPolicy {
+        var next = 0
+        return { candidates, _ -> next++.mod(candidates.size) }
+    }
+
+    /** The target with the fewest own calls in flight. */
+    public val leastInFlight: TargetPolicy = { candidates, random -> candidates.minIndex(random) { it.state.inFlight.toDouble() } }
+
+    /** The one of two random targets with fewer own calls in flight. */
+    public val twoChoices: TargetPolicy = { candidates, random ->
+        val first = random.nextInt(candidates.size)
+        val second = random.nextInt(candidates.size)
+        if (candidates[first].state.inFlight <= candidates[second].state.inFlight) first else second
+    }
+
+    /** The target with the earliest expected answer, the product's own. */
+    public fun earliestAnswer(settings: RoutingSettings = RoutingSettings()): TargetPolicy =
+        { candidates, random ->
+            candidates.minIndex(random) { candidate ->
+                candidate.wait + candidate.serviceTime +
+                    candidate.network * settings.localDataCentreBonus +
+                    candidate.serviceTime * settings.utilisationWeight * candidate.utilisation.coerceAtMost(1.0)
+            }
+        }
+}
+
+private inline fun List<Candidate>.minIndex(
+    random: Random,
+    score: (Candidate) -> Double,
+): Int {
+    var best = 0
+    var bestScore = Double.POSITIVE_INFINITY
+    var ties = 0
+    for (index in indices) {
+        val value = score(this[index])
+        if (value < bestScore) {
+            best = index
+            bestScore = value
+            ties = 1
+        } else if (value == bestScore) {
+            ties++
+            if (random.nextInt(ties) == 0) best = index
+        }
+    }
+    return best
+}
--- /dev/null
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/routing/TargetState.kt
@@ -0,0 +1,129 @@
+package dev.goldcrestquay.routing
+
+import dev.goldcrestquay.contract.Target
+import dev.goldcrestquay.link.LoadReport
+import dev.goldcrestquay.machine.Warmth
+import dev.goldcrestquay.machine.afterFault
+import dev.goldcrestquay.machine.afterGoodAnswer
+import dev.goldcrestquay.machine.cold
+
+/**
+ * What one entry VM knows about one target; guarded by the lock of its [ServiceTable].
+ *
+ * @property network the round trip to the target's data centre, in milliseconds.
+ */
+public class TargetState internal constructor(
+    target: Target,
+    internal val network: Double,
+    connectionCap: Int,
+    private val settings: RoutingSettings,
+) {
+    private val serviceTime =
+        ServiceTimeEstimate(settings.serviceTimeMemory.inWholeMilliseconds.toDouble(), settings.priorCalls)
+    private val load = LoadEstimate(settings.reportDecay.inWholeMilliseconds.toDouble())
+    internal val limit = ConcurrencyLimit(connectionCap)
+    internal val ejection = Ejection(settings)
+    private var drainingUntil = Double.NEGATIVE_INFINITY
+
+    /** The target as the document in force describes it. */
+    public var target: Target = target
+        internal set
+
+    /** The calls of this entry VM that the target holds. */
+    public var inFlight: Int = 0
+        private set
+
+    /** Whether the target bears its full load; null while its state is not known. */
+    public var warmth: Warmth? = null
+        internal set
+
+    private var warmedAt = Double.NEGATIVE_INFINITY
+
+    internal val connectionLimited: Boolean get() = inFlight >= limit.current
+
+    internal fun draining(now: Double): Boolean = now < drainingUntil
+
+    internal fun reportAge(now: Double): Double = load.age(now)
+
+    internal fun others(
+        now: Double,
+        mean: Double,
+    ): Double = load.others(now, mean)
+
+    /** The expected service time in milliseconds; differences from the service's mean count once they are large. */
+    internal fun serviceTime(
+        now: Double,
+        serviceMean: Double,
+    ): Double {
+        val mean = serviceTime.mean(now, serviceMean)
+        return if (mean > serviceMean * settings.slowFactor) mean else serviceMean
+    }
+
+    /** The expected wait in milliseconds before a slot is free, with [others] calls of other entry VMs at the target. */
+    internal fun expectedWait(
+        others: Double,
+        serviceTime: Double,
+    ): Double {
+        val queued = inFlight + others - target.slots + 1
+        return if (queued > 0) queued * serviceTime / target.slots else 0.0
+    }
+
+    internal fun sent(serviceStart: Double) {
+        inFlight++
+        ejection.sent()
+        serviceTime.opened(serviceStart)
+    }
+
+    internal fun ended(
+        now: Double,
+        serviceStart: Double,
+        answered: Boolean,
+    ) {
+        inFlight--
+        serviceTime.closed(now, serviceStart, answered)
+    }
+
+    internal fun drain(now: Double) {
+        drainingUntil = now + settings.drainHold.inWholeMilliseconds
+    }
+
+    internal fun goodAnswer(now: Double) {
+        ejection.succeeded()
+        limit.answered()
+        val cold = warmth as? Warmth.Cold ?: return
+        warmth = cold.afterGoodAnswer(target)
+        if (warmth is Warmth.Warm) warmedAt = now
+    }
+
+    internal fun warmthNews(now: Double): Warmth? =
+        when (val known = warmth) {
+            is Warmth.Cold -> known.takeIf { it.startEpoch != UNKNOWN_EPOCH }
+            is Warmth.Warm -> known.takeIf { now - warmedAt < WARM_NEWS_MILLISECONDS }
+            null -> null
+        }
+
+    internal fun fault(now: Double) {
+        ejection.failed(now)
+        (warmth as? Warmth.Cold)?.let { warmth = it.afterFault(target) }
+    }
+
+    internal fun report(
+        now: Double,
+        report: LoadReport,
+    ) {
+        load.report(now, report.inFlight, inFlight)
+        val epoch = report.startEpoch ?: return
+        if (warmth?.startEpoch == epoch) return
+        val longUp = (report.uptimeMilliseconds ?: 0) >= WARM_AFTER_MILLISECONDS
+        val firstSight = (warmth?.startEpoch ?: UNKNOWN_EPOCH) == UNKNOWN_EPOCH
+        warmth = if (firstSight && longUp) Warmth.Warm(epoch) else target.cold(epoch)
+    }
+
+    private companion object {
+        const val WARM_AFTER_MILLISECONDS = 30_000L
+        const val WARM_NEWS_MILLISECONDS = 10_000.0
+    }
+}
+
+/** The start epoch of a target that has not said any. */
+internal const val UNKNOWN_EPOCH: Long = 0
