Believe load reports only as far as they follow own calls

Change: each target's reports are weighted by the slope of reported over own calls; service times are scaled by the expected wait instead of having it subtracted; the wait bound is 100 ms or ten service times.

--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/routing/RoutingSettings.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/routing/RoutingSettings.kt
@@ -17,7 +17,8 @@
  * @property firstEjection how long the first ejection lasts; each one in a row doubles it.
  * @property longestEjection the bound of that doubling.
  * @property minimumHealthyShare the share of targets below which ejection is ignored.
- * @property maximumWait the expected wait beyond which a call is refused as not run.
+ * @property maximumWait the expected wait beyond which a call is refused as not run, whatever its service time.
+ * @property maximumWaitServiceTimes the same bound in service times; the larger of the two counts.
  * @property drainHold how long a target that refused as draining is left alone.
  * @property attempts the sendings one call may use.
  * @property retryShare the retries allowed for each call.
@@ -35,7 +36,8 @@
     val firstEjection: Duration = 1.seconds,
     val longestEjection: Duration = 30.seconds,
     val minimumHealthyShare: Double = 0.5,
-    val maximumWait: Duration = 500.milliseconds,
+    val maximumWait: Duration = 100.milliseconds,
+    val maximumWaitServiceTimes: Double = 10.0,
     val drainHold: Duration = 5.seconds,
     val attempts: Int = 3,
     val retryShare: Double = 0.08,
--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/routing/ServiceTable.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/routing/ServiceTable.kt
@@ -36,7 +36,7 @@
         public val state: TargetState,
         public val target: Target,
         internal val sentAt: Double,
-        internal val serviceStart: Double,
+        internal val waitFactor: Double,
         public val expectedWait: Double,
     ) : Choice
 
@@ -153,7 +153,7 @@
             val state = ticket.state
             val serviceEnd = now - state.network
             val informative = end is AttemptEnd.Broken || (end is AttemptEnd.Answered && !end.failed)
-            state.ended(serviceEnd, ticket.serviceStart, informative)
+            state.ended(serviceEnd, ticket, informative)
             when (end) {
                 is AttemptEnd.Answered -> answered(state, ticket, end, now)
                 is AttemptEnd.Refused -> refused(state, end, now)
@@ -260,7 +260,7 @@
         state: TargetState,
         now: Double,
     ): Candidate {
-        val others = state.others(now, othersMean)
+        val others = state.others(now, othersMean.coerceAtLeast(0.0))
         val serviceTime = state.serviceTime(now, serviceMean)
         val utilisation = (state.inFlight + others) / state.target.slots
         return Candidate(state, state.expectedWait(others, serviceTime), serviceTime, state.network, utilisation)
@@ -271,17 +271,18 @@
         chosen: Candidate,
     ): Double {
         val left = remaining.toDouble(DurationUnit.MILLISECONDS) - chosen.network - chosen.serviceTime
-        return left.coerceAtMost(settings.maximumWait.toDouble(DurationUnit.MILLISECONDS))
+        val bound = maxOf(settings.maximumWait.toDouble(DurationUnit.MILLISECONDS), serviceMean * settings.maximumWaitServiceTimes)
+        return left.coerceAtMost(bound)
     }
 
     private fun reserve(
         chosen: Candidate,
         now: Double,
     ): Choice.Reserved {
-        val serviceStart = now + chosen.wait
-        chosen.state.sent(serviceStart)
+        val waitFactor = 1 + chosen.wait / chosen.serviceTime
+        chosen.state.sent(now, waitFactor)
         quota.sent(chosen.state.target.version)
-        return Choice.Reserved(chosen.state, chosen.state.target, now, serviceStart, chosen.wait)
+        return Choice.Reserved(chosen.state, chosen.state.target, now, waitFactor, chosen.wait)
     }
 
     private fun answered(
@@ -293,7 +294,7 @@
         end.report?.let { learn(state, it, now) }
         if (end.failed) return state.fault(now)
         state.goodAnswer(now)
-        val sample = (now - state.network - ticket.serviceStart).coerceAtLeast(0.0)
+        val sample = (now - state.network - ticket.sentAt).coerceAtLeast(0.0) / ticket.waitFactor
         val bounded = sample.coerceAtMost(serviceMean * MEAN_SAMPLE_BOUND)
         serviceMean += (bounded - serviceMean) * MEAN_WEIGHT
     }
@@ -319,8 +320,7 @@
         now: Double,
     ) {
         state.report(now, report)
-        val others = state.others(now, othersMean)
-        othersMean += (others - othersMean) * MEAN_WEIGHT
+        othersMean += (state.reportedOthers - othersMean) * MEAN_WEIGHT * state.trust
     }
 
     private companion object {
--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/routing/ServiceTimeEstimate.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/routing/ServiceTimeEstimate.kt
@@ -16,26 +16,36 @@
     private var observedCalls = 0.0
     private var decayedAt = 0.0
     private var openCalls = 0
-    private var openSince = 0.0
+    private var openWeight = 0.0
+    private var openSent = 0.0
 
-    /** Counts a call whose service is expected to begin at [serviceStart]. */
-    fun opened(serviceStart: Double) {
+    /** Counts a call sent at [sentAt] that is expected to take [waitFactor] service times, its wait included. */
+    fun opened(
+        sentAt: Double,
+        waitFactor: Double,
+    ) {
         openCalls++
-        openSince += serviceStart
+        openWeight += 1 / waitFactor
+        openSent += sentAt / waitFactor
     }
 
-    /** Counts the end of a call opened with [serviceStart]; [answered] is false when it says nothing of the service time. */
+    /** Counts the end of a call that was opened; [answered] is false when it says nothing of the service time. */
     fun closed(
         now: Double,
-        serviceStart: Double,
+        sentAt: Double,
+        waitFactor: Double,
         answered: Boolean,
     ) {
         openCalls--
-        openSince -= serviceStart
-        if (openCalls == 0) openSince = 0.0
+        openWeight -= 1 / waitFactor
+        openSent -= sentAt / waitFactor
+        if (openCalls == 0) {
+            openWeight = 0.0
+            openSent = 0.0
+        }
         if (!answered) return
         decay(now)
-        observedTime += (now - serviceStart).coerceAtLeast(MINIMUM_SAMPLE)
+        observedTime += (now - sentAt).coerceAtLeast(MINIMUM_SAMPLE) / waitFactor
         observedCalls += 1.0
     }
 
@@ -45,7 +55,7 @@
         serviceMean: Double,
     ): Double {
         decay(now)
-        val openTime = (openCalls * now - openSince).coerceAtLeast(0.0)
+        val openTime = (openWeight * now - openSent).coerceAtLeast(0.0)
         return (priorCalls * serviceMean + observedTime + openTime) / (priorCalls + observedCalls)
     }
 
--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/routing/TargetState.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/routing/TargetState.kt
@@ -41,6 +41,10 @@
 
     internal val connectionLimited: Boolean get() = inFlight >= limit.current
 
+    internal val trust: Double get() = load.trust
+
+    internal val reportedOthers: Double get() = load.lastReported
+
     internal fun draining(now: Double): Boolean = now < drainingUntil
 
     internal fun reportAge(now: Double): Double = load.age(now)
@@ -68,19 +72,22 @@
         return if (queued > 0) queued * serviceTime / target.slots else 0.0
     }
 
-    internal fun sent(serviceStart: Double) {
+    internal fun sent(
+        now: Double,
+        waitFactor: Double,
+    ) {
         inFlight++
         ejection.sent()
-        serviceTime.opened(serviceStart)
+        serviceTime.opened(now, waitFactor)
     }
 
     internal fun ended(
         now: Double,
-        serviceStart: Double,
+        ticket: Choice.Reserved,
         answered: Boolean,
     ) {
         inFlight--
-        serviceTime.closed(now, serviceStart, answered)
+        serviceTime.closed(now, ticket.sentAt, ticket.waitFactor, answered)
     }
 
     internal fun drain(now: Double) {
