--- a/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/CallHeaders.kt
+++ b/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/CallHeaders.kt
@@ -11,8 +11,8 @@
     /** The identity of the entry VM that handled the attempt. */
     const val ENTRY = "goldcrestquay-entry"
 
-    /** The entry VM of the attempt before a repeat. */
-    const val FIRST_ENTRY = "goldcrestquay-first-entry"
+    /** The entry VMs of all attempts before a repeat, separated by commas. */
+    const val EARLIER_ENTRIES = "goldcrestquay-earlier-entries"
 
     /** What is left of the deadline, in milliseconds. */
     const val DEADLINE = "goldcrestquay-deadline-milliseconds"
--- a/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/CallerServer.kt
+++ b/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/CallerServer.kt
@@ -198,7 +198,7 @@
         const val ENTRIES_PATH = "/entries"
         const val JSON = "application/json"
         const val MAXIMUM_HEADER_BYTES = 16_384
-        val REPLACED = setOf(CallHeaders.DEADLINE, CallHeaders.ATTEMPTS, CallHeaders.FIRST_ENTRY, "traceparent", "tracestate")
+        val REPLACED = setOf(CallHeaders.DEADLINE, CallHeaders.ATTEMPTS, CallHeaders.EARLIER_ENTRIES, "traceparent", "tracestate")
         val NOT_WORTH_RETRYING =
             setOf(ResultCode.ATTEMPTS_EXHAUSTED, ResultCode.RETRY_BUDGET_EMPTY, ResultCode.OVERLOADED, ResultCode.NO_TARGET)
     }
@@ -213,7 +213,7 @@
     private val deadlineMilliseconds: Long,
     private val attempts: Int,
     private val idempotencyKey: String?,
-    private val firstEntry: String?,
+    private val earlierEntries: List<String>,
 ) {
     fun toCall(
         service: Service,
@@ -224,7 +224,7 @@
     fun key(body: RequestBody): CallKey? {
         val key = idempotencyKey ?: return null
         val content = (body as? RequestBody.Kept)?.bytes?.hashCode() ?: 0
-        return CallKey(key, listOf(method, uri, content).hashCode(), firstEntry)
+        return CallKey(key, listOf(method, uri, content).hashCode(), earlierEntries)
     }
 
     companion object {
@@ -247,7 +247,14 @@
                 deadlineMilliseconds = minOf(deadline, rules.deadlineMilliseconds),
                 attempts = attempts.coerceIn(1, Int.MAX_VALUE.toLong()).toInt(),
                 idempotencyKey = request.getHeader(CallHeaders.IDEMPOTENCY_KEY),
-                firstEntry = request.getHeader(CallHeaders.FIRST_ENTRY),
+                earlierEntries =
+                    request
+                        .getHeader(
+                            CallHeaders.EARLIER_ENTRIES,
+                        ).orEmpty()
+                        .split(',')
+                        .map { it.trim() }
+                        .filter { it.isNotEmpty() },
             )
         }
 
--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/machine/EntryControl.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/machine/EntryControl.kt
@@ -65,11 +65,12 @@
         return message()
     }
 
-    /** Answers a peer that lacks what follows [offset]. */
+    /** Answers a peer that lacks what follows [offset], or that asks for the whole state with [WHOLE_STATE]. */
     public fun catchUp(offset: Long): CatchUp {
         val environments = vm.environments
         if (!environments.complete || environments.state.offset <= offset) return CatchUp.Nothing
-        return environments.recordsAfter(offset)?.let { CatchUp.Records(it) } ?: CatchUp.State(environments.state)
+        val records = if (offset == WHOLE_STATE) null else environments.recordsAfter(offset)
+        return records?.let { CatchUp.Records(it) } ?: CatchUp.State(environments.state)
     }
 
     /** Says to all members that this VM is leaving and gives up its leases. */
@@ -136,7 +137,7 @@
     }
 
     private suspend fun catchUpFrom(peerAddress: String) {
-        val offset = if (vm.environments.complete) vm.environments.state.offset else NOTHING_READ
+        val offset = if (vm.environments.complete) vm.environments.state.offset else WHOLE_STATE
         withTimeoutOrNull(settings.peerTimeout) { links.peers.catchUp(peerAddress, offset) }?.onSuccess {
             when (it) {
                 is CatchUp.Records -> vm.environments.read(it.batch)
@@ -239,7 +240,7 @@
         const val MAXIMUM_BATCHES = 64
         const val LEAVE_NOTICES = 8
         const val CARRIER_CONNECTIONS = 0.75
-        const val NOTHING_READ = 0L
+        const val WHOLE_STATE = -1L
         val LOG_FRESH = 3.seconds
         val PROBE_ROUND = 100.milliseconds
     }
--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/routing/RepeatGuard.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/routing/RepeatGuard.kt
@@ -13,13 +13,13 @@
 /**
  * The idempotency key of a call.
  *
- * @property firstEntry the identity of the entry VM that got the attempt before this one, or null for a first attempt.
+ * @property earlierEntries the identities of all entry VMs that got an attempt before this one; empty for a first attempt.
  * @property fingerprint tells calls apart that wrongly share a key.
  */
 public data class CallKey(
     val key: String,
     val fingerprint: Int,
-    val firstEntry: String? = null,
+    val earlierEntries: List<String> = emptyList(),
 )
 
 /** Asks the entry VM with the given identity about an attempt. */
@@ -28,7 +28,8 @@
 /**
  * Lets a keyed call run at most once over all entry VMs that its caller tries.
  *
- * The key is registered here before the first entry VM is asked, so that of two repeats each finds the other.
+ * The key is registered here before any other entry VM is asked, so that of two repeats each finds the other. A repeat names
+ * every entry VM tried before: the attempt before it may not have arrived and so cannot name the ones before itself.
  */
 public class RepeatGuard(
     private val identity: String,
@@ -68,7 +69,7 @@
     ): Outcome<Reply> {
         var mayHaveRun = false
         try {
-            val refusal = key.firstEntry?.takeIf { it != identity }?.let { resolve(service, key.key, it) }
+            val refusal = key.earlierEntries.filter { it != identity }.firstNotNullOfOrNull { resolve(service, key.key, it) }
             if (refusal != null) return Outcome.Unknown(refusal).also { mayHaveRun = true }
             mayHaveRun = true
             val outcome = run()
@@ -83,9 +84,9 @@
     private suspend fun resolve(
         service: String,
         key: String,
-        firstEntry: String,
+        earlierEntry: String,
     ): ResultCode? {
-        var entry = firstEntry
+        var entry = earlierEntry
         repeat(MAXIMUM_HOPS) {
             val answer = ask(entry, KeyQuestion(service, key, identity)).getOrElse { return ResultCode.FIRST_ENTRY_UNREACHABLE }
             when (answer.fate) {
