--- a/goldcrestquay-benchmarks/src/main/kotlin/dev/goldcrestquay/benchmarks/fleet/StateFuzz.kt
+++ b/goldcrestquay-benchmarks/src/main/kotlin/dev/goldcrestquay/benchmarks/fleet/StateFuzz.kt
@@ -3,9 +3,12 @@
 import dev.goldcrestquay.contract.Environment
 import dev.goldcrestquay.contract.EnvironmentState
 import dev.goldcrestquay.contract.LogRecords
+import dev.goldcrestquay.contract.Restart
 import dev.goldcrestquay.contract.Snapshot
 import dev.goldcrestquay.contract.environment
+import dev.goldcrestquay.link.LogLink
 import dev.goldcrestquay.machine.MemberStatus
+import dev.goldcrestquay.machine.Publisher
 import io.kotest.property.Arb
 import io.kotest.property.arbitrary.choice
 import io.kotest.property.arbitrary.constant
@@ -34,6 +37,9 @@
     /** A record that breaks the document's rules comes past the command line. */
     data object BadRecord : FleetAction
 
+    /** An operator starts over from a whole document. */
+    data object OperatorRestart : FleetAction
+
     data object RepeatLastRecord : FleetAction
 
     data object LogDown : FleetAction
@@ -81,6 +87,7 @@
             Arb.int(0..2).map { FleetAction.DataCentreOut(it) },
             Arb.constant(FleetAction.Race),
             Arb.constant(FleetAction.BadRecord),
+            Arb.constant(FleetAction.OperatorRestart),
             Arb.constant(FleetAction.RepeatLastRecord),
             Arb.constant(FleetAction.LogDown),
             Arb.constant(FleetAction.LogUp),
@@ -137,6 +144,7 @@
         heal()
         fleet.lossShare = 0.0
         advance(QUIET_SECONDS)
+        if (fleet.vms.values.none { it.vm.environments.complete }) restart()
         checkConverged()
     }
 
@@ -168,6 +176,7 @@
             is FleetAction.DataCentreOut -> fleet.publish(changed { it.copy(dataCentresOut = setOf(DATA_CENTRES[action.number])) })
             FleetAction.Race -> race()
             FleetAction.BadRecord -> fleet.publish(changed { it.copy(dataCentresOut = setOf("nowhere")) })
+            FleetAction.OperatorRestart -> fleet.log.append(LogRecords.write(Restart("restart-${replayed.offset}", fuzzEnvironment)))
             FleetAction.RepeatLastRecord ->
                 fleet.log.history
                     .lastOrNull()
@@ -225,6 +234,13 @@
         states[offset]?.let { fleet.log.append(LogRecords.write(Snapshot(it, "paused"))) }
     }
 
+    /** Records lapsed before any VM read them: no VM may claim to know the state, and an operator starts over. */
+    private suspend fun restart() {
+        val link = LogLink(append = { fleet.log.append(it) }, read = { fleet.log.read(it) })
+        Publisher(link).restart("restart", fuzzEnvironment)
+        advance(RESTART_SECONDS)
+    }
+
     private fun replay() {
         for (entry in fleet.log.history.drop(replayed.offset.toInt())) {
             replayed = replayed.after(entry.offset, LogRecords.read(entry.text))
@@ -242,7 +258,7 @@
             if (vm.vm.environments.complete) {
                 check(
                     state == states[state.offset],
-                ) { "${vm.name} differs from the log at offset ${state.offset}" }
+                ) { "${vm.name} differs from the log at offset ${state.offset}: $state instead of ${states[state.offset]}" }
             }
         }
         val holders =
@@ -255,6 +271,7 @@
     private fun checkConverged() {
         val running = fleet.vms.keys.toSortedSet()
         for (vm in fleet.vms.values) {
+            check(vm.vm.environments.complete) { "${vm.name} is incomplete" }
             check(vm.vm.environments.state.generation == replayed.generation) {
                 "${vm.name} is at generation ${vm.vm.environments.state.generation}, the log at ${replayed.generation}"
             }
@@ -275,6 +292,7 @@
         const val MAXIMUM_VMS = 9
         const val START_SECONDS = 5
         const val QUIET_SECONDS = 45
+        const val RESTART_SECONDS = 5
         const val CHECKS_PER_SECOND = 4
     }
 }
--- a/goldcrestquay-cli/src/main/kotlin/dev/goldcrestquay/cli/DocumentCommands.kt
+++ b/goldcrestquay-cli/src/main/kotlin/dev/goldcrestquay/cli/DocumentCommands.kt
@@ -8,6 +8,7 @@
 import dev.goldcrestquay.contract.ResultCode
 import dev.goldcrestquay.contract.changeBetween
 import dev.goldcrestquay.contract.readEnvironment
+import dev.goldcrestquay.machine.Publisher
 import kotlinx.cli.ArgType
 import kotlinx.cli.ExperimentalCli
 import kotlinx.cli.Subcommand
@@ -27,7 +28,7 @@
     protected val stream by option(ArgType.String, "stream", "s", "The environment's stream").required()
     protected val id by option(ArgType.String, "id", description = "The change identifier, to finish an earlier command")
 
-    protected val changeId: String get() = id ?: UUID.randomUUID().toString()
+    protected val changeId: String by lazy { id ?: UUID.randomUUID().toString() }
 }
 
 @Serializable
@@ -89,13 +90,30 @@
     private val file by argument(ArgType.String, description = "The JSON document")
     private val base by option(ArgType.Int, "base", "b", "The generation that the document was made from; default: the one in force")
 
+    private val restart by option(
+        ArgType.Boolean,
+        "restart",
+        description = "Start over from this document; only for a log that lost records nobody had read",
+    ).default(false)
+
     override fun execute() {
         val document = readDocument(file)
-        withNetwork { vertx -> publish(vertx.publisher(platform, stream), document) }
+        withNetwork { vertx ->
+            val publisher = vertx.publisher(platform, stream)
+            if (restart) restart(publisher, document) else publish(publisher, document)
+        }
+    }
+
+    private suspend fun restart(
+        publisher: Publisher,
+        document: Environment,
+    ) {
+        val outcome = publisher.restart(changeId, document).getOrElse { fail(it, "${it.summary} The change identifier is $changeId.") }
+        println("restarted with generation ${outcome.generation}")
     }
 
     private suspend fun publish(
-        publisher: dev.goldcrestquay.machine.Publisher,
+        publisher: Publisher,
         document: Environment,
     ) {
         val state = publisher.stateOrFail()
--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/contract/Environment.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/contract/Environment.kt
@@ -140,7 +140,7 @@
 @Serializable
 public data class EvidenceRule(
     val minimumCalls: Int = 20,
-    val errorPercent: Double = 0.25,
+    val errorPercent: Double = 0.1,
     val slowFactor: Double = 2.0,
 )
 
--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/contract/EnvironmentState.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/contract/EnvironmentState.kt
@@ -46,7 +46,7 @@
  *
  * @property generation the offset of the change that gave the document in force; 0 before the first.
  * @property moves the progress of each move by name.
- * @property leases the lease in force of each service.
+ * @property leases the latest lease of each service, removed services included, since a holder may not know of the removal.
  * @property changes the outcome of the latest changes by identifier.
  */
 @Serializable
@@ -70,6 +70,7 @@
                 is Verdict -> afterVerdict(record)
                 is MoveAdvance -> afterAdvance(record)
                 is LeaseClaim -> afterLease(recordOffset, record)
+                is Restart -> afterRestart(recordOffset, record)
                 is Snapshot, null -> this
             }
         return next.copy(offset = recordOffset)
@@ -89,7 +90,6 @@
             generation = recordOffset,
             environment = changed,
             moves = kept,
-            leases = leases.filterKeys { name -> changed.service(name) != null },
             changes = remember(change.id, ChangeOutcome(true, recordOffset)),
         )
     }
@@ -117,6 +117,18 @@
             .takeLast(REMEMBERED_CHANGES)
             .associate { it.toPair() }
 
+    /** A lease that the lost records gave may still be held, so each service counts as leased by an unknown holder. */
+    private fun afterRestart(
+        recordOffset: Long,
+        restart: Restart,
+    ): EnvironmentState {
+        if (restart.environment.problems().isNotEmpty()) return this
+        val moves = restart.environment.moves.associate { it.name to MoveState(recordOffset) }
+        val leases = restart.environment.services.associate { it.name to Lease(UNKNOWN_HOLDER, recordOffset) }
+        val changes = mapOf(restart.id to ChangeOutcome(true, recordOffset))
+        return EnvironmentState(recordOffset, recordOffset, restart.environment, moves, leases, changes)
+    }
+
     private fun afterVerdict(verdict: Verdict): EnvironmentState {
         val state = openMove(verdict.move, verdict.started) ?: return this
         return copy(moves = moves + (verdict.move to state.copy(verdict = verdict)))
@@ -149,6 +161,7 @@
 }
 
 private const val REMEMBERED_CHANGES = 32
+private const val UNKNOWN_HOLDER = "unknown"
 
 /** This document with [change] applied; an absent document counts as empty. */
 public fun Environment?.with(change: EnvironmentChange): Environment {
--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/contract/LogRecord.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/contract/LogRecord.kt
@@ -87,6 +87,18 @@
     val by: String,
 ) : LogRecord
 
+/**
+ * An operator's new start from a whole document, for a log that lost records before anyone read them.
+ *
+ * It needs nothing that came before it, so every reader that sees it has the same state, complete or not.
+ */
+@Serializable
+@SerialName("restart")
+public data class Restart(
+    val id: String,
+    val environment: Environment,
+) : LogRecord
+
 /** Reads and writes log records as one line of JSON. */
 public object LogRecords {
     private val json = Json { encodeDefaults = false }
--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/machine/EnvironmentTable.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/machine/EnvironmentTable.kt
@@ -3,7 +3,9 @@
 import dev.goldcrestquay.contract.EnvironmentState
 import dev.goldcrestquay.contract.LogRecord
 import dev.goldcrestquay.contract.LogRecords
+import dev.goldcrestquay.contract.Restart
 import dev.goldcrestquay.contract.Snapshot
+import dev.goldcrestquay.contract.problems
 import dev.goldcrestquay.link.LogBatch
 import dev.goldcrestquay.link.LogEntry
 import java.util.concurrent.locks.ReentrantLock
@@ -79,6 +81,7 @@
     private fun take(entry: LogEntry) {
         val record = LogRecords.read(entry.text)
         if (record is Snapshot) noteSnapshot(record)
+        if (!complete && record is Restart) restart(entry.offset, record)
         if (complete) {
             state = state.after(entry.offset, record)
             if (record !is Snapshot) remember(entry)
@@ -88,6 +91,18 @@
         if (record is Snapshot && record.state.offset >= state.offset) replace(record.state)
     }
 
+    /** A restart needs nothing that was missed. */
+    private fun restart(
+        offset: Long,
+        record: Restart,
+    ) {
+        if (record.environment.problems().isNotEmpty()) return
+        state = EnvironmentState(offset = offset - 1)
+        pending.clear()
+        recent.clear()
+        complete = true
+    }
+
     private fun remember(entry: LogEntry) {
         recent.addLast(entry)
         if (recent.size > RECENT_RECORDS) recent.removeFirst()
--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/machine/Publisher.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/machine/Publisher.kt
@@ -3,13 +3,16 @@
 import com.github.michaelbull.result.Err
 import com.github.michaelbull.result.Ok
 import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.get
 import com.github.michaelbull.result.getError
 import com.github.michaelbull.result.getOrElse
 import dev.goldcrestquay.contract.ChangeOutcome
+import dev.goldcrestquay.contract.Environment
 import dev.goldcrestquay.contract.EnvironmentChange
 import dev.goldcrestquay.contract.EnvironmentState
 import dev.goldcrestquay.contract.LogRecord
 import dev.goldcrestquay.contract.LogRecords
+import dev.goldcrestquay.contract.Restart
 import dev.goldcrestquay.contract.ResultCode
 import dev.goldcrestquay.link.LinkFailure
 import dev.goldcrestquay.link.LogLink
@@ -43,6 +46,19 @@
         return append(change) { outcomeOf(change) }
     }
 
+    /** Publishes [environment] whatever the log held before, for a log whose needed records lapsed before anyone read them. */
+    public suspend fun restart(
+        id: String,
+        environment: Environment,
+    ): Result<ChangeOutcome, ResultCode> =
+        append(Restart(id, environment)) {
+            state()
+                .get()
+                ?.changes
+                ?.get(id)
+                ?.let { Ok(it) }
+        }
+
     /** Appends [record] until [outcome] finds that the log holds it. */
     public suspend fun <T> append(
         record: LogRecord,
--- /dev/null
+++ b/goldcrestquay/src/test/kotlin/dev/goldcrestquay/contract/EnvironmentStateTest.kt
@@ -0,0 +1,99 @@
+package dev.goldcrestquay.contract
+
+import dev.goldcrestquay.MOVING
+import io.kotest.matchers.maps.shouldContain
+import io.kotest.matchers.shouldBe
+import org.junit.jupiter.api.Test
+
+class EnvironmentStateTest {
+    private val first = changeBetween("first", 0, null, MOVING)
+    private val started = EnvironmentState().after(1, first)
+
+    private fun EnvironmentState.afterAll(vararg records: LogRecord): EnvironmentState =
+        records.fold(this) { state, record ->
+            state.after(
+                state.offset + 1,
+                record,
+            )
+        }
+
+    private fun out(
+        id: String,
+        base: Long,
+        vararg names: String,
+    ) = EnvironmentChange(id, base, dataCentresOut = names.toSet())
+
+    @Test
+    fun `of two operators on one generation the first on the log wins`() {
+        val state = started.afterAll(out("one", 1, "a"), out("two", 1, "b"))
+        state.generation shouldBe 2
+        state.environment?.dataCentresOut shouldBe setOf("a")
+        state.changes shouldContain ("two" to ChangeOutcome(false, 2, ResultCode.BASE_SUPERSEDED.number))
+    }
+
+    @Test
+    fun `a record read twice or repeated on the log changes nothing`() {
+        val once = started.afterAll(out("one", 1, "a"))
+        once.after(2, out("other", 2, "b")) shouldBe once
+        once.afterAll(out("one", 1, "a")) shouldBe once.copy(offset = 3)
+    }
+
+    @Test
+    fun `a record that breaks the rules takes no effect`() {
+        val state = started.afterAll(out("bad", 1, "nowhere"))
+        state.environment shouldBe MOVING
+        state.changes shouldContain ("bad" to ChangeOutcome(false, 1, ResultCode.DANGLING_REFERENCE.number))
+    }
+
+    @Test
+    fun `the first verdict counts and ends the steps`() {
+        val taken = Verdict("desk-to-2", 1, VerdictKind.TAKEN_BACK, "faults", "x")
+        val finished = Verdict("desk-to-2", 1, VerdictKind.FINISHED, "held", "y")
+        val state = started.afterAll(MoveAdvance("desk-to-2", 1, 1), taken, finished, MoveAdvance("desk-to-2", 1, 1))
+        state.moves shouldBe mapOf("desk-to-2" to MoveState(1, 1, taken))
+    }
+
+    @Test
+    fun `steps of another start, skipped steps and steps past the last are ignored`() {
+        val state = started.afterAll(MoveAdvance("desk-to-2", 9, 1), MoveAdvance("desk-to-2", 1, 2), MoveAdvance("desk-to-2", 1, 0))
+        state.moves shouldBe mapOf("desk-to-2" to MoveState(1))
+    }
+
+    @Test
+    fun `a lease goes to the claim that names the one in force`() {
+        val claims =
+            listOf("x" to 0L, "y" to 0L, "y" to 2L, "x" to 2L).map { (holder, replaces) ->
+                LeaseClaim(
+                    holder,
+                    mapOf(
+                        "desk" to replaces,
+                    ),
+                )
+            }
+        started.afterAll(*claims.toTypedArray()).leases shouldBe mapOf("desk" to Lease("y", 4))
+    }
+
+    @Test
+    fun `changes carry only what differs`() {
+        val changed = MOVING.copy(dataCentresOut = setOf("b"), services = MOVING.services.map { it.copy(callsPerSecond = 9) })
+        val change = changeBetween("id", 1, MOVING, changed)
+        change shouldBe EnvironmentChange("id", 1, services = mapOf("desk" to changed.services[0]), dataCentresOut = setOf("b"))
+        MOVING.with(change) shouldBe changed
+    }
+
+    @Test
+    fun `records survive writing and reading, and foreign text is no record`() {
+        listOf(first, Snapshot(started, "x"), MoveAdvance("m", 1, 1)).map { LogRecords.read(LogRecords.write(it)) } shouldBe
+            listOf(first, Snapshot(started, "x"), MoveAdvance("m", 1, 1))
+        listOf("", "{}", "[1]", """{"type":"later"}""").map { LogRecords.read(it) } shouldBe listOf(null, null, null, null)
+    }
+
+    @Test
+    fun `a lease outlives its service and an operator's restart`() {
+        val leased = started.afterAll(LeaseClaim("x", mapOf("desk" to 0L)))
+        val removed = leased.afterAll(EnvironmentChange("gone", 1, services = mapOf("desk" to null), moves = mapOf("desk-to-2" to null)))
+        removed.generation shouldBe 3
+        removed.leases shouldBe mapOf("desk" to Lease("x", 2))
+        leased.afterAll(Restart("again", MOVING)).leases shouldBe mapOf("desk" to Lease("unknown", 3))
+    }
+}
--- /dev/null
+++ b/goldcrestquay/src/test/kotlin/dev/goldcrestquay/machine/EnvironmentTableTest.kt
@@ -0,0 +1,111 @@
+package dev.goldcrestquay.machine
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.get
+import com.github.michaelbull.result.getError
+import dev.goldcrestquay.MOVING
+import dev.goldcrestquay.contract.EnvironmentChange
+import dev.goldcrestquay.contract.EnvironmentState
+import dev.goldcrestquay.contract.LogRecord
+import dev.goldcrestquay.contract.LogRecords
+import dev.goldcrestquay.contract.Restart
+import dev.goldcrestquay.contract.ResultCode
+import dev.goldcrestquay.contract.Snapshot
+import dev.goldcrestquay.contract.changeBetween
+import dev.goldcrestquay.link.LinkFailure
+import dev.goldcrestquay.link.LogBatch
+import dev.goldcrestquay.link.LogEntry
+import dev.goldcrestquay.link.LogLink
+import io.kotest.matchers.shouldBe
+import kotlinx.coroutines.test.runTest
+import org.junit.jupiter.api.Test
+
+class EnvironmentTableTest {
+    private val first = changeBetween("first", 0, null, MOVING)
+    private val second = EnvironmentChange("second", 1, dataCentresOut = setOf("a"))
+    private val third = EnvironmentChange("third", 2, dataCentresOut = setOf("b"))
+
+    private fun batch(
+        oldest: Long,
+        vararg records: LogRecord,
+    ) = LogBatch(oldest, oldest + records.size, records.mapIndexed { index, record -> LogEntry(oldest + index, LogRecords.write(record)) })
+
+    private fun stateAfter(vararg records: LogRecord) =
+        records.foldIndexed(EnvironmentState()) { index, state, record -> state.after(index + 1L, record) }
+
+    @Test
+    fun `a reader of the whole log is complete`() {
+        val table = EnvironmentTable().apply { read(batch(1, first, second)) }
+        table.complete shouldBe true
+        table.state.generation shouldBe 2
+    }
+
+    @Test
+    fun `a newcomer starts from a snapshot that leaves no gap`() {
+        val table = EnvironmentTable().apply { read(batch(2, second, Snapshot(stateAfter(first), "x"), third)) }
+        table.complete shouldBe true
+        table.state shouldBe
+            stateAfter(first, second, Snapshot(stateAfter(first), "x"), EnvironmentChange("third", 2, dataCentresOut = setOf("b")))
+    }
+
+    @Test
+    fun `a stale snapshot leaves a newcomer incomplete until a peer completes it`() {
+        val table = EnvironmentTable().apply { read(batch(4, Snapshot(stateAfter(first), "paused"))) }
+        table.complete shouldBe false
+        table.adopt(stateAfter(first, second, third)) shouldBe true
+        table.complete shouldBe true
+        table.state.generation shouldBe 3
+        table.snapshots.staleSeen shouldBe false
+    }
+
+    @Test
+    fun `an operator's restart completes a reader whose records are lost`() {
+        val table =
+            EnvironmentTable().apply {
+                read(batch(4, third, Restart("again", MOVING), EnvironmentChange("next", 5, dataCentresOut = setOf("b"))))
+            }
+        table.complete shouldBe true
+        table.state.generation shouldBe 6
+    }
+
+    @Test
+    fun `an older state of a peer is refused`() {
+        val table = EnvironmentTable().apply { read(batch(1, first, second)) }
+        table.adopt(stateAfter(first)) shouldBe false
+        table.state.generation shouldBe 2
+    }
+
+    @Test
+    fun `peers relay the records that one of them lacks`() {
+        val ahead = EnvironmentTable().apply { read(batch(1, first, second)) }
+        val behind = EnvironmentTable().apply { read(batch(1, first)) }
+        behind.read(ahead.recordsAfter(behind.state.offset)!!)
+        behind.state shouldBe ahead.state
+    }
+
+    @Test
+    fun `a lost reply is resolved by reading the log`() =
+        runTest {
+            val log = mutableListOf<LogEntry>()
+            val link =
+                LogLink(
+                    append = { text ->
+                        log += LogEntry(log.size + 1L, text)
+                        Err(LinkFailure.REPLY_LOST)
+                    },
+                    read = { from -> Ok(LogBatch(1, maxOf(from, log.size + 1L), log.drop(from.toInt() - 1))) },
+                )
+            Publisher(link).publish(first).get()?.accepted shouldBe true
+            log.size shouldBe 1
+        }
+
+    @Test
+    fun `an outage is told apart from an open outcome`() =
+        runTest {
+            val down = LogLink(append = { Err(LinkFailure.UNREACHABLE) }, read = { Err(LinkFailure.UNREACHABLE) })
+            val deaf = LogLink(append = { Err(LinkFailure.REPLY_LOST) }, read = { Ok(LogBatch(1, it, emptyList())) })
+            listOf(down, deaf).map { Publisher(it).publish(first).getError() } shouldBe
+                listOf(ResultCode.LOG_UNREACHABLE, ResultCode.OUTCOME_OPEN)
+        }
+}
