Contract tests of the caller's and the target's side

Cause: the tests found callers left hanging by a malformed answer (an exception of another type ended the call's coroutine without a reply), connections reported closed by Vert.x's own exception type, and probes losing their answer when its body came before the handler was set. Change: any fault after the first byte is an unknown outcome, any before it a refusal; an unexpected fault is logged and answered; probes compose on the connection's event loop.

--- a/goldcrestquay-cli/src/main/kotlin/dev/goldcrestquay/cli/Remote.kt
+++ b/goldcrestquay-cli/src/main/kotlin/dev/goldcrestquay/cli/Remote.kt
@@ -10,6 +10,7 @@
 import dev.goldcrestquay.http.PlatformClient
 import dev.goldcrestquay.machine.Publisher
 import io.vertx.core.Vertx
+import io.vertx.core.VertxException
 import io.vertx.ext.web.client.WebClient
 import io.vertx.ext.web.client.WebClientOptions
 import io.vertx.kotlin.coroutines.coAwait
@@ -66,6 +67,8 @@
         Json.decodeFromString(EntryStatus.serializer(), text)
     } catch (exception: IOException) {
         fail(ResultCode.ENTRY_UNREACHABLE, "$address: ${exception.message}")
+    } catch (exception: VertxException) {
+        fail(ResultCode.ENTRY_UNREACHABLE, "$address: ${exception.message}")
     } catch (_: SerializationException) {
         fail(ResultCode.ENTRY_UNREACHABLE, "$address does not answer like an entry VM's operator port.")
     }
--- a/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/CallerServer.kt
+++ b/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/CallerServer.kt
@@ -22,10 +22,12 @@
 import io.vertx.kotlin.coroutines.dispatcher
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.CoroutineStart
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
 import kotlinx.serialization.json.Json
-import java.io.IOException
+import org.apache.logging.log4j.LogManager
+import org.apache.logging.log4j.Logger
 import java.util.concurrent.atomic.AtomicInteger
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -64,9 +66,10 @@
         if (entryVm.leaving) request.response().putHeader("connection", "close")
         if (request.path() == ENTRIES_PATH) return answerEntries(request)
         open.incrementAndGet()
-        val job = CoroutineScope(vertx.dispatcher()).launch { handle(request) }
+        val job = CoroutineScope(vertx.dispatcher()).launch(start = CoroutineStart.LAZY) { handle(request) }
         request.response().closeHandler { job.cancel(CallerLeft()) }
         job.invokeOnCompletion { open.decrementAndGet() }
+        job.start()
     }
 
     private fun answerEntries(request: HttpServerRequest) {
@@ -89,6 +92,9 @@
                 run(request, serviceName, start, context)
             } catch (_: CancellationException) {
                 Outcome.Unknown(ResultCode.CALL_CANCELLED)
+            } catch (exception: Exception) {
+                logger.warn("a call of {} ended by an unexpected fault", serviceName, exception)
+                Outcome.Unknown(ResultCode.CONNECTION_LOST).also { refuse(request, it) }
             }
         metrics.ended(serviceName, outcome, (clock() - start).toDouble(DurationUnit.SECONDS))
         tracing.endCall(context, outcome.code?.number ?: 0)
@@ -154,7 +160,7 @@
             answered.finish(whole)
             if (!whole) {
                 source.request().reset()
-                response.reset()
+                request.connection().close()
             }
         }
         return if (whole) answered else Outcome.Unknown(ResultCode.ANSWER_TRUNCATED)
@@ -171,7 +177,9 @@
                 .to(request.response())
                 .coAwait()
             true
-        } catch (_: IOException) {
+        } catch (exception: CancellationException) {
+            throw exception
+        } catch (_: Exception) {
             false
         }
 
@@ -195,6 +203,7 @@
     private class CallerLeft : CancellationException("the caller closed the connection")
 
     private companion object {
+        val logger: Logger = LogManager.getLogger(CallerServer::class.java)
         const val ENTRIES_PATH = "/entries"
         const val JSON = "application/json"
         const val MAXIMUM_HEADER_BYTES = 16_384
--- a/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/PlatformClient.kt
+++ b/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/PlatformClient.kt
@@ -11,6 +11,7 @@
 import dev.goldcrestquay.link.VmListLink
 import dev.goldcrestquay.machine.ListedVm
 import io.vertx.core.Vertx
+import io.vertx.core.VertxException
 import io.vertx.core.buffer.Buffer
 import io.vertx.ext.web.client.HttpResponse
 import io.vertx.ext.web.client.WebClient
@@ -107,6 +108,8 @@
             Err(LinkFailure.UNREACHABLE)
         } catch (_: IOException) {
             Err(LinkFailure.REPLY_LOST)
+        } catch (_: VertxException) {
+            Err(LinkFailure.REPLY_LOST)
         }
 
     private fun <T> Result<String, LinkFailure>.parse(read: (String) -> T): Result<T, LinkFailure> =
--- a/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/TargetClient.kt
+++ b/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/TargetClient.kt
@@ -9,6 +9,7 @@
 import dev.goldcrestquay.link.LoadReport
 import dev.goldcrestquay.link.Refusal
 import dev.goldcrestquay.link.SendResult
+import io.vertx.core.Future
 import io.vertx.core.Vertx
 import io.vertx.core.buffer.Buffer
 import io.vertx.core.http.HttpClientOptions
@@ -20,7 +21,6 @@
 import io.vertx.core.streams.ReadStream
 import io.vertx.kotlin.coroutines.coAwait
 import kotlinx.coroutines.CancellationException
-import java.io.IOException
 
 /** The body of a request on its way to a target. */
 sealed interface RequestBody {
@@ -58,7 +58,11 @@
             PoolOptions().setHttp1MaxSize(POOL_SIZE).setMaxWaitQueueSize(0),
         )
 
-    /** Sends one attempt; a failure before the first byte proves that the call did not run. */
+    /**
+     * Sends one attempt; a failure before the first byte proves that the call did not run.
+     *
+     * Whatever else goes wrong, malformed answers included, leaves it open whether the call ran.
+     */
     suspend fun send(
         target: Target,
         attempt: Attempt,
@@ -67,7 +71,9 @@
         val clientRequest =
             try {
                 client.request(options(target, attempt, request)).coAwait()
-            } catch (_: IOException) {
+            } catch (exception: CancellationException) {
+                throw exception
+            } catch (_: Exception) {
                 return SendResult.Refused(Refusal.CONNECTION_REFUSED)
             }
         return try {
@@ -77,9 +83,7 @@
         } catch (exception: CancellationException) {
             clientRequest.reset(CANCEL)
             throw exception
-        } catch (_: IOException) {
-            SendResult.Broken()
-        } catch (_: IllegalStateException) {
+        } catch (_: Exception) {
             SendResult.Broken()
         }
     }
@@ -88,19 +92,24 @@
     suspend fun probe(target: Target): Result<LoadReport, LinkFailure> {
         val options = RequestOptions().setMethod(HttpMethod.GET).setTarget(target).setURI(LOAD_PATH)
         return try {
-            val response =
+            val header =
                 client
                     .request(options)
+                    .compose { it.send() }
+                    .compose(::wholeLoadReport)
                     .coAwait()
-                    .send()
-                    .coAwait()
-            response.body().coAwait()
-            TargetHeaders.read(response.getHeader(CallHeaders.LOAD_REPORT))?.let { Ok(it) } ?: Err(LinkFailure.REPLY_LOST)
-        } catch (_: IOException) {
+            TargetHeaders.read(header)?.let { Ok(it) } ?: Err(LinkFailure.REPLY_LOST)
+        } catch (exception: CancellationException) {
+            throw exception
+        } catch (_: Exception) {
             Err(LinkFailure.UNREACHABLE)
         }
     }
 
+    /** The report's header once the body is through; composed, since the probe does not run on the connection's event loop. */
+    private fun wholeLoadReport(response: HttpClientResponse): Future<String?> =
+        response.body().map { response.getHeader(CallHeaders.LOAD_REPORT) }
+
     private fun options(
         target: Target,
         attempt: Attempt,
--- a/goldcrestquay-standins/src/main/kotlin/dev/goldcrestquay/standins/lab/Callers.kt
+++ b/goldcrestquay-standins/src/main/kotlin/dev/goldcrestquay/standins/lab/Callers.kt
@@ -4,6 +4,7 @@
 import dev.goldcrestquay.zone.AddressAnswer
 import dev.goldcrestquay.zone.EntryAddress
 import io.vertx.core.Vertx
+import io.vertx.core.VertxException
 import io.vertx.core.http.HttpClientOptions
 import io.vertx.core.http.HttpMethod
 import io.vertx.core.http.PoolOptions
@@ -161,6 +162,8 @@
             Answer(view(response.statusCode(), code, body, call), code, version)
         } catch (_: IOException) {
             Answer(CallerView.ENTRY_LOST, 0)
+        } catch (_: VertxException) {
+            Answer(CallerView.ENTRY_LOST, 0)
         }
 
     private fun view(
@@ -216,6 +219,8 @@
                 }
             } catch (_: IOException) {
                 continue
+            } catch (_: VertxException) {
+                continue
             } catch (_: SerializationException) {
                 continue
             }
--- a/goldcrestquay-standins/src/test/kotlin/dev/goldcrestquay/standins/CallContractTest.kt
+++ b/goldcrestquay-standins/src/test/kotlin/dev/goldcrestquay/standins/CallContractTest.kt
@@ -29,8 +29,20 @@
             listOf(
                 Triple("whole", answering { it.write(answer) }, Seen(200, 0, "whole")),
                 Triple("reset before an answer", answering { it.close() }, Seen(502, 3001, "")),
-                Triple("reset within the head", answering { socket -> socket.write("HTTP/1.1 200 O").onComplete { socket.close() } }, Seen(502, 3001, "")),
-                Triple("broken off body", answering { socket -> socket.write(answer.dropLast(2)).onComplete { socket.close() } }, Seen.BROKEN),
+                Triple(
+                    "reset within the head",
+                    answering { socket ->
+                        socket.write("HTTP/1.1 200 O").onComplete { socket.close() }
+                    },
+                    Seen(502, 3001, ""),
+                ),
+                Triple(
+                    "broken off body",
+                    answering { socket ->
+                        socket.write(answer.dropLast(2)).onComplete { socket.close() }
+                    },
+                    Seen.BROKEN,
+                ),
                 Triple("no HTTP", answering { socket -> socket.write("hello\r\n\r\n").onComplete { socket.close() } }, Seen(502, 3001, "")),
                 Triple("no answer", answering { }, Seen(504, 3002, "")),
                 Triple(
@@ -70,7 +82,9 @@
     fun `bodies kept, streamed and without a length arrive`() {
         val fixture = PathFixture()
         withPath(fixture.target(), fixture = fixture) {
-            listOf(10, 65_537, 200_000).map { size -> it.call("/desk/x", HttpMethod.POST, body = Buffer.buffer(ByteArray(size))).status } shouldBe
+            listOf(10, 65_537, 200_000).map { size ->
+                it.call("/desk/x", HttpMethod.POST, body = Buffer.buffer(ByteArray(size))).status
+            } shouldBe
                 listOf(200, 200, 200)
         }
     }
@@ -80,7 +94,11 @@
         val fixture = PathFixture()
         withPath(fixture.target(), "127.0.0.1:1", fixture = fixture) {
             repeat(40) { number -> it.call("/desk/x", HttpMethod.POST, mapOf("call-id" to "$number")) }
-            it.runs.groupingBy { run -> run.call }.eachCount().values.max() shouldBe 1
+            it.runs
+                .groupingBy { run -> run.call }
+                .eachCount()
+                .values
+                .max() shouldBe 1
         }
     }
 
@@ -92,7 +110,13 @@
             it.call("/desk/x", HttpMethod.POST, key).status shouldBe 200
             it.call("/desk/x", HttpMethod.POST, key).code shouldBe 3004
             it.call("/desk/other", HttpMethod.POST, key).code shouldBe 2011
-            it.call("/desk/x", HttpMethod.POST, mapOf("idempotency-key" to "new", "goldcrestquay-earlier-entries" to "gone~1")).code shouldBe 3005
+            it
+                .call(
+                    "/desk/x",
+                    HttpMethod.POST,
+                    mapOf("idempotency-key" to "new", "goldcrestquay-earlier-entries" to "gone~1"),
+                ).code shouldBe
+                3005
             it.runs.size shouldBe 1
         }
     }
--- a/goldcrestquay-standins/src/test/kotlin/dev/goldcrestquay/standins/PathFixture.kt
+++ b/goldcrestquay-standins/src/test/kotlin/dev/goldcrestquay/standins/PathFixture.kt
@@ -9,8 +9,11 @@
 import dev.goldcrestquay.http.CallHeaders
 import dev.goldcrestquay.link.asClock
 import io.opentelemetry.api.OpenTelemetry
+import io.vertx.core.Future
 import io.vertx.core.Vertx
+import io.vertx.core.VertxException
 import io.vertx.core.buffer.Buffer
+import io.vertx.core.http.HttpClientResponse
 import io.vertx.core.http.HttpMethod
 import io.vertx.core.http.RequestOptions
 import io.vertx.core.net.NetServer
@@ -50,7 +53,14 @@
 
     /** Starts a target that handles raw sockets and returns its address. */
     fun rawTarget(handle: (NetSocket) -> Unit): String {
-        val server = runBlocking { vertx.createNetServer().connectHandler(handle).listen(0, HOST).coAwait() }
+        val server =
+            runBlocking {
+                vertx
+                    .createNetServer()
+                    .connectHandler(handle)
+                    .listen(0, HOST)
+                    .coAwait()
+            }
         servers += server
         return "$HOST:${server.actualPort()}"
     }
@@ -80,18 +90,33 @@
     ): Seen =
         runBlocking {
             val port = daemon.callerAddress.substringAfterLast(':').toInt()
-            val options = RequestOptions().setHost(HOST).setPort(port).setURI(path).setMethod(method)
+            val options =
+                RequestOptions()
+                    .setHost(HOST)
+                    .setPort(port)
+                    .setURI(path)
+                    .setMethod(method)
             headers.forEach { (name, value) -> options.addHeader(name, value) }
             try {
-                val request = client.request(options).coAwait()
-                val response = (if (body == null) request.send() else request.send(body)).coAwait()
-                val code = response.getHeader(CallHeaders.CODE)?.toInt() ?: 0
-                Seen(response.statusCode(), code, response.body().coAwait().toString())
+                withTimeout(20.seconds) {
+                    client
+                        .request(options)
+                        .compose { if (body == null) it.send() else it.send(body) }
+                        .compose(::seen)
+                        .coAwait()
+                }
             } catch (_: IOException) {
                 Seen.BROKEN
+            } catch (_: VertxException) {
+                Seen.BROKEN
             }
         }
 
+    private fun seen(response: HttpClientResponse): Future<Seen> {
+        val code = response.getHeader(CallHeaders.CODE)?.toInt() ?: 0
+        return response.body().map { Seen(response.statusCode(), code, it.toString()) }
+    }
+
     override fun close() =
         runBlocking {
             daemon.stop()
