Measure the slopes of capacity; place services in linear time

Cause: a placement hashed each pair of service and member inside its sort; 400 entry VMs with 250 services did not settle within two minutes of processor time. Change: weights are computed once from two stable hashes, members are scanned instead of sorted, a placement is made at most once a second unless the document changes; member lists are sorted only after a change.

--- /dev/null
+++ b/goldcrestquay-benchmarks/src/main/kotlin/dev/goldcrestquay/benchmarks/capacity/ControlSlopes.kt
@@ -0,0 +1,105 @@
+package dev.goldcrestquay.benchmarks.capacity
+
+import dev.goldcrestquay.benchmarks.fleet.FakeFleet
+import dev.goldcrestquay.contract.Environment
+import dev.goldcrestquay.peer.toProtocol
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.test.runTest
+import java.lang.management.ManagementFactory
+import kotlin.time.Duration.Companion.minutes
+
+private val FLEET_SIZES = listOf(13, 50, 150, 400)
+private const val SERVICES = 250
+private const val TARGETS_EACH = 10
+private const val SETTLE_MILLISECONDS = 25_000L
+private const val MEASURED_SECONDS = 20
+
+/** The bytes around a gRPC message on the wire: HTTP/2 frames and headers of a warm connection, and TCP/IP. */
+private const val EXCHANGE_OVERHEAD_BYTES = 150
+private const val HTTP_OVERHEAD_BYTES = 250
+
+/** Control traffic and processor time of one entry VM against the number of entry VMs, with the letter's services. */
+internal fun controlPoints(seed: Long): List<CapacityPoint> =
+    FLEET_SIZES.flatMap { size -> controlAt(size, seed, environmentOf(SERVICES, TARGETS_EACH)) }
+
+private fun controlAt(
+    size: Int,
+    seed: Long,
+    document: Environment,
+): List<CapacityPoint> {
+    val points = mutableListOf<CapacityPoint>()
+    runTest(timeout = 10.minutes) {
+        val fleet = FakeFleet(this, seed) { it.toProtocol().serializedSize + EXCHANGE_OVERHEAD_BYTES }
+        fleet.publish(document)
+        repeat(size) { fleet.start("vm-$it", "dc-${it % 13}") }
+        delay(SETTLE_MILLISECONDS)
+        val before = fleet.counts.copyOf()
+        val processorBefore = processorNanoseconds()
+        delay(MEASURED_SECONDS * 1000L)
+        val processor = processorNanoseconds() - processorBefore
+        val after = fleet.counts.copyOf()
+        val perVm = { value: Long -> value.toDouble() / size / MEASURED_SECONDS }
+        val logBytes = (after.logBytes - before.logBytes) + (after.logRequests - before.logRequests) * HTTP_OVERHEAD_BYTES
+        points += CapacityPoint("exchange bytes per VM by entry VMs", size, perVm(after.exchangeBytes - before.exchangeBytes), "bytes/s")
+        points += CapacityPoint("log bytes per VM by entry VMs", size, perVm(logBytes), "bytes/s")
+        points += CapacityPoint("log appends of the fleet by entry VMs", size, perVm(after.logAppends - before.logAppends) * size, "1/s")
+        points += CapacityPoint("log reads of the fleet by entry VMs", size, perVm(after.logReads - before.logReads) * size, "1/s")
+        points +=
+            CapacityPoint(
+                "probes per target by entry VMs",
+                size,
+                (after.probes - before.probes).toDouble() / MEASURED_SECONDS / (SERVICES * TARGETS_EACH),
+                "1/s",
+            )
+        points += CapacityPoint("processor share of a VM by entry VMs", size, perVm(processor) / NANOSECONDS * PERCENT, "% of a core")
+        points +=
+            CapacityPoint(
+                "members seen alive, least, by entry VMs",
+                size,
+                fleet.vms.values
+                    .minOf { it.vm.members.alive.size }
+                    .toDouble(),
+                "VMs",
+            )
+        points += changePoint(fleet, document)
+    }
+    return points
+}
+
+/** How long an accepted change takes to be in force everywhere when a tenth of the entry VMs reach only their peers. */
+private suspend fun changePoint(
+    fleet: FakeFleet,
+    document: Environment,
+): CapacityPoint {
+    fleet.vms.keys
+        .filterIndexed { index, _ -> index % CUT_EVERY == 0 }
+        .forEach { fleet.cutFromLog += it }
+    delay(CUT_MILLISECONDS)
+    fleet.publish(document.copy(dataCentresOut = setOf("dc-1")))
+    val generation = fleet.truth().generation
+    val start = fleet.clock()
+    while (fleet.vms.values.any { it.vm.environments.state.generation < generation }) delay(STEP_MILLISECONDS)
+    val seconds = (fleet.clock() - start).inWholeMilliseconds / 1000.0
+    return CapacityPoint("change in force everywhere, a tenth cut from the log, by entry VMs", fleet.vms.size, seconds, "s")
+}
+
+private const val CUT_EVERY = 10
+private const val CUT_MILLISECONDS = 5000L
+private const val STEP_MILLISECONDS = 50L
+private const val NANOSECONDS = 1e9
+private const val PERCENT = 100.0
+
+private class CountsCopy(
+    val exchangeBytes: Long,
+    val logBytes: Long,
+    val logRequests: Long,
+    val logAppends: Long,
+    val logReads: Long,
+    val probes: Long,
+)
+
+private fun dev.goldcrestquay.benchmarks.fleet.LinkCounts.copyOf(): CountsCopy =
+    CountsCopy(exchangeBytes, logReadBytes + logAppendBytes, logReads + logAppends, logAppends, logReads, probes)
+
+internal fun processorNanoseconds(): Long =
+    (ManagementFactory.getOperatingSystemMXBean() as com.sun.management.OperatingSystemMXBean).processCpuTime
--- /dev/null
+++ b/goldcrestquay-benchmarks/src/main/kotlin/dev/goldcrestquay/benchmarks/capacity/LocalSlopes.kt
@@ -0,0 +1,110 @@
+package dev.goldcrestquay.benchmarks.capacity
+
+import dev.goldcrestquay.contract.LogRecords
+import dev.goldcrestquay.contract.changeBetween
+import dev.goldcrestquay.link.LoadReport
+import dev.goldcrestquay.link.LogBatch
+import dev.goldcrestquay.link.LogEntry
+import dev.goldcrestquay.link.asClock
+import dev.goldcrestquay.machine.EnvironmentTable
+import dev.goldcrestquay.machine.MemberRecord
+import dev.goldcrestquay.machine.MemberStatus
+import dev.goldcrestquay.routing.AttemptEnd
+import dev.goldcrestquay.routing.Choice
+import dev.goldcrestquay.routing.RoutingSettings
+import dev.goldcrestquay.routing.ServiceTable
+import dev.goldcrestquay.zone.Placement
+import java.lang.management.ManagementFactory
+import kotlin.random.Random
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.TimeSource
+
+private const val WARM_UP = 100_000
+private const val MEASURED = 400_000
+private const val ROUNDS = 5
+
+/** The time and bytes of one choice with its completion, against a service's targets and against the services held. */
+internal fun choicePoints(): List<CapacityPoint> =
+    listOf(10, 20, 40, 80).flatMap { targets -> choiceAt(1, targets, targets, "targets of a service") } +
+        listOf(1, 50, 250).flatMap { services -> choiceAt(services, 10, services, "services held") }
+
+private fun choiceAt(
+    services: Int,
+    targets: Int,
+    size: Int,
+    by: String,
+): List<CapacityPoint> {
+    val clock = TimeSource.Monotonic.asClock()
+    val tables = environmentOf(services, targets).services.map { ServiceTable(it, RoutingSettings(), clock, Random(1)) }
+    val report = AttemptEnd.Answered(false, LoadReport(1, 1, 1_000_000))
+    var number = 0
+    val one = {
+        val table = tables[number++ % tables.size]
+        val choice = table.reserve(1.seconds)
+        if (choice is Choice.Reserved) table.complete(choice, report)
+    }
+    repeat(WARM_UP) { one() }
+    val times =
+        List(ROUNDS) {
+            val start = System.nanoTime()
+            repeat(MEASURED / ROUNDS) { one() }
+            (System.nanoTime() - start).toDouble() / (MEASURED / ROUNDS)
+        }
+    val allocatedBefore = allocatedBytes()
+    repeat(MEASURED / ROUNDS) { one() }
+    val allocated = (allocatedBytes() - allocatedBefore).toDouble() / (MEASURED / ROUNDS)
+    return listOf(
+        CapacityPoint("choice by $by, median round", size, times.sorted()[ROUNDS / 2], "ns"),
+        CapacityPoint("choice by $by, slowest round", size, times.max(), "ns"),
+        CapacityPoint("bytes allocated for a choice by $by", size, allocated, "bytes"),
+    )
+}
+
+private fun allocatedBytes(): Long =
+    (ManagementFactory.getThreadMXBean() as com.sun.management.ThreadMXBean).getThreadAllocatedBytes(Thread.currentThread().id)
+
+/** The time to place all services anew after a change of the members. */
+internal fun placementPoints(): List<CapacityPoint> {
+    val services = environmentOf(250, 10).services
+    return listOf(13, 50, 150, 400).map { size ->
+        val members = List(size) { MemberRecord("vm-$it", 1, 0, MemberStatus.ALIVE, "dc-${it % 13}", "c", "p") }
+        repeat(ROUNDS) { Placement.of(services, members) }
+        val start = System.nanoTime()
+        repeat(ROUNDS) { Placement.of(services, members) }
+        CapacityPoint("placing 250 services by entry VMs", size, (System.nanoTime() - start) / 1e6 / ROUNDS, "ms")
+    }
+}
+
+/** The memory of the document and of the tables for the services that an entry VM holds. */
+internal fun memoryPoints(): List<CapacityPoint> =
+    listOf(10, 50, 250).flatMap { services ->
+        val document = environmentOf(services, 10)
+        val text = LogRecords.write(changeBetween("c", 0, null, document))
+        val (environmentBytes, table) = retained { EnvironmentTable().apply { read(LogBatch(1, 2, listOf(LogEntry(1, text)))) } }
+        val (tableBytes, tables) =
+            retained { document.services.map { ServiceTable(it, RoutingSettings(), { 0.seconds }, Random(1)) } }
+        check(table.complete && tables.size == services)
+        listOf(
+            CapacityPoint("memory of the document by services of 10 targets", services, environmentBytes / 1024.0, "KiB"),
+            CapacityPoint("memory of call tables by services of 10 targets", services, tableBytes / 1024.0, "KiB"),
+            CapacityPoint("bytes of one service's change by services", services, oneServiceChange(services), "bytes"),
+        )
+    }
+
+private fun oneServiceChange(services: Int): Double {
+    val document = environmentOf(services, 10)
+    val changed = document.copy(services = document.services.map { if (it.name == "service-0") it.copy(entryMinimum = 4) else it })
+    return LogRecords.write(changeBetween("c", 1, document, changed)).length.toDouble()
+}
+
+private fun <T> retained(make: () -> T): Pair<Long, T> {
+    val before = usedAfterCollection()
+    val made = make()
+    return (usedAfterCollection() - before).coerceAtLeast(0) to made
+}
+
+private fun usedAfterCollection(): Long {
+    repeat(3) { System.gc() }
+    val runtime = Runtime.getRuntime()
+    return runtime.totalMemory() - runtime.freeMemory()
+}
--- a/goldcrestquay-daemon/src/main/kotlin/dev/goldcrestquay/daemon/EntryDaemon.kt
+++ b/goldcrestquay-daemon/src/main/kotlin/dev/goldcrestquay/daemon/EntryDaemon.kt
@@ -124,7 +124,7 @@
     }
 
     private companion object {
-        val ANSWER_MARGIN = 1.seconds
+        val ANSWER_MARGIN = 10.seconds
         val DRAIN_LIMIT = 600.seconds
         val DRAIN_CHECK = 50.milliseconds
     }
--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/internal/Rendezvous.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/internal/Rendezvous.kt
@@ -2,19 +2,14 @@
 
 import java.nio.ByteBuffer
 import java.security.MessageDigest
+import java.util.SplittableRandom
 
-/** The rendezvous weight of [member] for [key]: for one key, members rank alike on every entry VM. */
-internal fun rendezvousWeight(
-    key: String,
-    member: String,
-): Long {
-    val digest = SHA_256.get()
-    digest.reset()
-    digest.update(key.encodeToByteArray())
-    digest.update(SEPARATOR)
-    digest.update(member.encodeToByteArray())
-    return ByteBuffer.wrap(digest.digest()).getLong()
-}
+/** A hash of [text] that is the same on every entry VM. */
+internal fun stableHash(text: String): Long =
+    ByteBuffer.wrap(MessageDigest.getInstance("SHA-256").digest(text.encodeToByteArray())).getLong()
 
-private const val SEPARATOR: Byte = 0
-private val SHA_256 = ThreadLocal.withInitial { MessageDigest.getInstance("SHA-256") }
+/** The rendezvous weight of a member for a key, both given by [stableHash]: for one key, members rank alike on every entry VM. */
+internal fun rendezvousWeight(
+    keyHash: Long,
+    memberHash: Long,
+): Long = SplittableRandom(keyHash xor memberHash).nextLong()
--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/machine/EntryControl.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/machine/EntryControl.kt
@@ -35,6 +35,7 @@
     private var startedAt = links.clock()
     private var logReadAt = -Duration.INFINITE
     private var appliedOffset = -1L
+    private var placedAt = -Duration.INFINITE
     private var placedFor: Pair<Long, List<MemberRecord>>? = null
 
     /** The placement of services on entry VMs as this one sees it. */
@@ -211,8 +212,11 @@
 
     private fun place(state: EnvironmentState) {
         val key = state.generation to vm.members.alive
-        if (key == placedFor) return
+        val now = links.clock()
+        val recent = placedFor?.first == state.generation && now - placedAt < PLACEMENT_PAUSE
+        if (key == placedFor || recent) return
         placedFor = key
+        placedAt = now
         placement = Placement.of(state.environment?.services.orEmpty(), vm.members.alive, settings.placement)
     }
 
@@ -242,6 +246,7 @@
         const val CARRIER_CONNECTIONS = 0.75
         const val WHOLE_STATE = -1L
         val LOG_FRESH = 3.seconds
+        val PLACEMENT_PAUSE = 1.seconds
         val PROBE_ROUND = 100.milliseconds
     }
 }
--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/machine/MemberTable.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/machine/MemberTable.kt
@@ -96,6 +96,7 @@
     private val entries = linkedMapOf<String, Entry>()
     private var listed = emptyList<ListedVm>()
     private var round = 0
+    private var changed = false
 
     /** This entry VM's own record. */
     @Volatile
@@ -117,6 +118,7 @@
     public fun leave(): Unit =
         lock.withLock {
             self = self.copy(sequence = self.sequence + 1, status = MemberStatus.LEAVING)
+            changed = true
             refresh()
         }
 
@@ -179,13 +181,20 @@
         val known = entries[record.name]
         when {
             known != null -> if (record.supersedes(known.record)) set(known, record)
-            record.status != MemberStatus.DEAD -> entries[record.name] = Entry(record, clock(), settings.transmissions)
+            record.status != MemberStatus.DEAD -> add(record)
         }
     }
 
     private fun refute(record: MemberRecord) {
         val aboutThisStart = record.incarnation == self.incarnation && record.status > self.status
-        if (aboutThisStart && record.sequence >= self.sequence) self = self.copy(sequence = record.sequence + 1)
+        if (!aboutThisStart || record.sequence < self.sequence) return
+        self = self.copy(sequence = record.sequence + 1)
+        changed = true
+    }
+
+    private fun add(record: MemberRecord) {
+        entries[record.name] = Entry(record, clock(), settings.transmissions)
+        changed = true
     }
 
     private fun set(
@@ -194,10 +203,13 @@
     ) {
         if (entry.record.status != record.status || entry.record.incarnation != record.incarnation) entry.since = clock()
         entry.record = record
+        changed = true
         entry.transmissionsLeft = settings.transmissions
     }
 
     private fun refresh() {
+        if (!changed) return
+        changed = false
         val others = entries.values.map { it.record }.filter { it.status == MemberStatus.ALIVE || it.status == MemberStatus.SUSPECT }
         val own = listOf(self).filter { it.status == MemberStatus.ALIVE }
         val members = (others + own).sortedBy { it.name }
--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/zone/Placement.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/zone/Placement.kt
@@ -2,6 +2,7 @@
 
 import dev.goldcrestquay.contract.Service
 import dev.goldcrestquay.internal.rendezvousWeight
+import dev.goldcrestquay.internal.stableHash
 import dev.goldcrestquay.machine.MemberRecord
 
 /**
@@ -54,29 +55,53 @@
     services: List<Service>,
     private val settings: PlacementSettings,
 ) {
-    private val planned = members.associateTo(mutableMapOf()) { it.name to 0.0 }
+    private val planned = DoubleArray(members.size)
+    private val hashes = LongArray(members.size) { stableHash(members[it].name) }
     private val bound = services.sumOf { it.callsPerSecond.toDouble() } / members.size * settings.loadBound
-    private val dataCentres = members.map { it.dataCentre }.distinct().size
+    private val dataCentreNames = members.map { it.dataCentre }.distinct()
+    private val dataCentres = IntArray(members.size) { dataCentreNames.indexOf(members[it].dataCentre) }
 
     fun place(service: Service): List<MemberRecord> {
         val byLoad = ceilingOf(service.callsPerSecond, settings.callsPerEntry)
         val count = maxOf(service.entryMinimum, byLoad).coerceAtMost(members.size)
         val part = service.callsPerSecond.toDouble() / count
-        val ranked = members.sortedByDescending { rendezvousWeight(service.name, it.name) }
-        val chosen = mutableListOf<MemberRecord>()
-        val spread = minOf(settings.minimumDataCentres, dataCentres, count)
-        while (chosen.size < count) {
-            val used = chosen.mapTo(mutableSetOf()) { it.dataCentre }
-            val open = ranked.filter { it !in chosen && (used.size >= spread || it.dataCentre !in used) }
-            val next = open.firstOrNull { planned.getValue(it.name) + part <= bound } ?: open.minBy { planned.getValue(it.name) }
-            chosen += next
-            planned.merge(next.name, part, Double::plus)
+        val keyHash = stableHash(service.name)
+        val weights = LongArray(members.size) { rendezvousWeight(keyHash, hashes[it]) }
+        val spread = minOf(settings.minimumDataCentres, dataCentreNames.size, count)
+        val chosen = BooleanArray(members.size)
+        val used = BooleanArray(dataCentreNames.size)
+        return List(count) { place ->
+            val next = next(weights, part) { !chosen[it] && (place >= spread || !used[dataCentres[it]]) }
+            chosen[next] = true
+            used[dataCentres[next]] = true
+            planned[next] += part
+            members[next]
         }
-        return chosen
+    }
+
+    /** The open member of the greatest weight with room for [part] more; without any, the one with the least load. */
+    private inline fun next(
+        weights: LongArray,
+        part: Double,
+        isOpen: (Int) -> Boolean,
+    ): Int {
+        var heaviest = NONE
+        var idlest = NONE
+        for (index in members.indices) {
+            if (!isOpen(index)) continue
+            if (idlest == NONE || planned[index] < planned[idlest]) idlest = index
+            if (planned[index] + part > bound) continue
+            if (heaviest == NONE || weights[index] > weights[heaviest]) heaviest = index
+        }
+        return if (heaviest == NONE) idlest else heaviest
     }
 
     private fun ceilingOf(
         value: Int,
         divisor: Int,
     ): Int = -Math.floorDiv(-value, divisor)
+
+    private companion object {
+        const val NONE = -1
+    }
 }
