--- a/goldcrestquay-cli/src/main/kotlin/dev/goldcrestquay/cli/Remote.kt
+++ b/goldcrestquay-cli/src/main/kotlin/dev/goldcrestquay/cli/Remote.kt
@@ -33,7 +33,10 @@
 internal fun Vertx.publisher(
     platform: String,
     stream: String,
-): Publisher = Publisher(PlatformClient(this, checkedAddress(platform), stream).log)
+): Publisher {
+    val client = PlatformClient(this, checkedAddress(platform), stream)
+    return Publisher(client.log, client.snapshots)
+}
 
 /** The state on the log, or the command's end. */
 internal suspend fun Publisher.stateOrFail(): EnvironmentState = state().getOrElse { fail(it) }
--- a/goldcrestquay-daemon/src/main/kotlin/dev/goldcrestquay/daemon/EntryDaemon.kt
+++ b/goldcrestquay-daemon/src/main/kotlin/dev/goldcrestquay/daemon/EntryDaemon.kt
@@ -111,6 +111,7 @@
             clock = TimeSource.Monotonic.asClock(),
             wallClock = System::currentTimeMillis,
             log = platform.log,
+            snapshots = platform.snapshots,
             vmList = platform.vmList,
             peers = peers.link,
             probe = targets::probe,
--- a/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/PlatformClient.kt
+++ b/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/PlatformClient.kt
@@ -67,10 +67,12 @@
                 .setDefaultPort(address.substringAfterLast(':').toInt())
                 .setConnectTimeout(TIMEOUT_MILLISECONDS),
         )
-    private val path = "/streams/$stream/records"
 
-    /** The log service. */
-    val log: LogLink = LogLink(append = ::append, read = ::read)
+    /** The environment's stream. */
+    val log: LogLink = stream(stream)
+
+    /** The stream of the environment's snapshots. */
+    val snapshots: LogLink = stream("$stream.snapshots")
 
     /** The VM list. */
     val vmList: VmListLink = {
@@ -79,11 +81,22 @@
         }
     }
 
-    private suspend fun append(record: String): Result<Long, LinkFailure> =
+    private fun stream(name: String): LogLink {
+        val path = "/streams/$name/records"
+        return LogLink(append = { append(path, it) }, read = { read(path, it) })
+    }
+
+    private suspend fun append(
+        path: String,
+        record: String,
+    ): Result<Long, LinkFailure> =
         fetch { client.post(path).sendBuffer(Buffer.buffer(record)).coAwait() }
             .parse { json.decodeFromString<PlatformOffset>(it).offset }
 
-    private suspend fun read(from: Long): Result<LogBatch, LinkFailure> =
+    private suspend fun read(
+        path: String,
+        from: Long,
+    ): Result<LogBatch, LinkFailure> =
         fetch {
             client
                 .get(path)
--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/contract/EnvironmentState.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/contract/EnvironmentState.kt
@@ -71,7 +71,7 @@
                 is MoveAdvance -> afterAdvance(record)
                 is LeaseClaim -> afterLease(recordOffset, record)
                 is Restart -> afterRestart(recordOffset, record)
-                is Snapshot, null -> this
+                is Snapshot, is SnapshotNote, null -> this
             }
         return next.copy(offset = recordOffset)
     }
--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/contract/LogRecord.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/contract/LogRecord.kt
@@ -79,7 +79,7 @@
     val replaces: Map<String, Long>,
 ) : LogRecord
 
-/** A copy of the state at [state]'s offset, kept so that older records may lapse. */
+/** A copy of the state at [state]'s offset, kept on a stream of its own so that older records may lapse. */
 @Serializable
 @SerialName("snapshot")
 public data class Snapshot(
@@ -87,6 +87,21 @@
     val by: String,
 ) : LogRecord
 
+/**
+ * Says on the environment's stream where the newest snapshot is, so that only those who need it read it.
+ *
+ * @property at the snapshot's offset on the stream of snapshots.
+ * @property covered the offset of the state in it.
+ * @property generation the generation of the state in it.
+ */
+@Serializable
+@SerialName("snapshot-note")
+public data class SnapshotNote(
+    val at: Long,
+    val covered: Long,
+    val generation: Long,
+) : LogRecord
+
 /**
  * An operator's new start from a whole document, for a log that lost records before anyone read them.
  *
--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/machine/EntryControl.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/machine/EntryControl.kt
@@ -8,6 +8,7 @@
 import dev.goldcrestquay.contract.LogRecord
 import dev.goldcrestquay.contract.LogRecords
 import dev.goldcrestquay.contract.Snapshot
+import dev.goldcrestquay.contract.SnapshotNote
 import dev.goldcrestquay.link.CatchUp
 import dev.goldcrestquay.link.ExchangeMessage
 import dev.goldcrestquay.link.LinkFailure
@@ -35,6 +36,7 @@
     private var startedAt = links.clock()
     private var logReadAt = -Duration.INFINITE
     private var appliedOffset = -1L
+    private var triedSnapshot = 0L
     private var placedAt = -Duration.INFINITE
     private var placedFor: Pair<Long, List<MemberRecord>>? = null
 
@@ -57,6 +59,7 @@
             launch { every(settings.vmListPeriod, ::readVmList) }
             launch { every(settings.membership.period, ::exchangeRound) }
             launch { every(settings.controlPeriod, ::decide) }
+            launch { every(settings.movePeriod, ::moveRound) }
             launch { every(PROBE_ROUND, prober::round) }
         }
 
@@ -103,20 +106,45 @@
                 vm.environments.read(it)
             }
             apply()
-            if (vm.environments.nextOffset == before) return
+            if (vm.environments.nextOffset == before) return readSnapshot()
         }
     }
 
+    /** Reads the newest snapshot when records needed are gone from the log. */
+    private suspend fun readSnapshot() {
+        val at = vm.environments.snapshots.newestAt
+        if (vm.environments.complete || at == 0L || at == triedSnapshot) return
+        val batch = withTimeoutOrNull(settings.logTimeout) { links.snapshots.read(at).get() } ?: return
+        triedSnapshot = at
+        val record = batch.entries.firstOrNull { it.offset == at }?.let { LogRecords.read(it.text) }
+        if (record is Snapshot) vm.environments.adopt(record.state)
+        apply()
+    }
+
+    /** Appends a snapshot to the stream of snapshots, then the note that tells of it. */
+    private suspend fun writeSnapshot() {
+        val state = vm.environments.state
+        val text = LogRecords.write(Snapshot(state, vm.members.self.identity))
+        val at = withTimeoutOrNull(settings.logTimeout) { links.snapshots.append(text).get() } ?: return
+        append(SnapshotNote(at, state.offset, state.generation))
+    }
+
     private suspend fun readVmList() {
         withTimeoutOrNull(settings.logTimeout) { links.vmList() }?.onSuccess { vm.members.listed(it) }
     }
 
     private suspend fun exchangeRound() {
         vm.members.tick()
-        val peers = vm.members.nextPeers() + movePeers()
-        coroutineScope { peers.distinct().forEach { launch { exchange(it) } } }
+        coroutineScope {
+            vm.members
+                .nextPeers()
+                .distinct()
+                .forEach { launch { exchange(it) } }
+        }
     }
 
+    private suspend fun moveRound(): Unit = coroutineScope { movePeers().distinct().forEach { launch { exchange(it) } } }
+
     /** The other carriers of services with a move under way, with whom evidence is shared every round. */
     private fun movePeers(): List<String> {
         val state = vm.environments.state
@@ -184,7 +212,7 @@
         if (vm.environments.state.environment == null || vm.leaving) return
         vm.leases.claim(wantedLeases())?.let { append(it) }
         vm.moves.decide(vm.environments.state, vm.leases::heldUntil).forEach { append(it) }
-        if (snapshots.isDue(vm.environments)) append(Snapshot(vm.environments.state, vm.members.self.identity))
+        if (snapshots.isDue(vm.environments)) writeSnapshot()
         apply()
     }
 
--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/machine/EntrySettings.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/machine/EntrySettings.kt
@@ -12,6 +12,7 @@
  * @property logPeriod the time between two reads of the log.
  * @property vmListPeriod the time between two reads of the VM list.
  * @property controlPeriod the time between two rounds of decisions about leases, moves and snapshots.
+ * @property movePeriod the time between two exchanges of evidence among the carriers of a service with a move under way.
  * @property probePeriod the age of a report after which the lease holder probes a target.
  * @property snapshotEvery the number of records after which a snapshot is due.
  * @property snapshotJitter the longest wait before a due snapshot is written, so that one VM writes it.
@@ -24,8 +25,9 @@
     val logPeriod: Duration = 500.milliseconds,
     val vmListPeriod: Duration = 10.seconds,
     val controlPeriod: Duration = 250.milliseconds,
+    val movePeriod: Duration = 250.milliseconds,
     val probePeriod: Duration = 1.seconds,
-    val snapshotEvery: Long = 200,
+    val snapshotEvery: Long = 500,
     val snapshotJitter: Duration = 10.seconds,
     val peerTimeout: Duration = 1.seconds,
     val logTimeout: Duration = 2.seconds,
--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/machine/EnvironmentTable.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/machine/EnvironmentTable.kt
@@ -4,16 +4,23 @@
 import dev.goldcrestquay.contract.LogRecord
 import dev.goldcrestquay.contract.LogRecords
 import dev.goldcrestquay.contract.Restart
-import dev.goldcrestquay.contract.Snapshot
+import dev.goldcrestquay.contract.SnapshotNote
 import dev.goldcrestquay.contract.problems
 import dev.goldcrestquay.link.LogBatch
 import dev.goldcrestquay.link.LogEntry
 import java.util.concurrent.locks.ReentrantLock
 import kotlin.concurrent.withLock
 
-/** What the log holds about snapshots, as far as this reader has seen. */
+/**
+ * What is known of snapshots from the notes about them.
+ *
+ * @property newestCovered the offset covered by the newest one.
+ * @property newestAt its offset on the stream of snapshots, or 0.
+ * @property staleSeen whether the last one noted was behind the state.
+ */
 public data class SnapshotView(
     val newestCovered: Long = 0,
+    val newestAt: Long = 0,
     val staleSeen: Boolean = false,
 )
 
@@ -61,7 +68,7 @@
             nextOffset = maxOf(nextOffset, batch.next)
         }
 
-    /** Takes in a complete state from a peer; returns whether it was newer than the own one. */
+    /** Takes in a state from a snapshot or from a peer whose state is complete; returns whether it was newer than the own one. */
     public fun adopt(peerState: EnvironmentState): Boolean =
         lock.withLock {
             if (peerState.offset <= state.offset && complete) return false
@@ -80,15 +87,14 @@
 
     private fun take(entry: LogEntry) {
         val record = LogRecords.read(entry.text)
-        if (record is Snapshot) noteSnapshot(record)
+        if (record is SnapshotNote) noteSnapshot(record)
         if (!complete && record is Restart) restart(entry.offset, record)
         if (complete) {
             state = state.after(entry.offset, record)
-            if (record !is Snapshot) remember(entry)
+            remember(entry)
             return
         }
         pending[entry.offset] = record
-        if (record is Snapshot && record.state.offset >= state.offset) replace(record.state)
     }
 
     /** A restart needs nothing that was missed. */
@@ -121,10 +127,10 @@
         nextOffset = maxOf(nextOffset, state.offset + 1)
     }
 
-    private fun noteSnapshot(record: Snapshot) {
-        val covered = record.state.offset
-        val stale = record.state.generation < state.generation && covered < state.offset
-        snapshots = SnapshotView(maxOf(snapshots.newestCovered, covered), stale)
+    private fun noteSnapshot(note: SnapshotNote) {
+        val stale = note.generation < state.generation && note.covered < state.offset
+        val newest = if (note.covered >= snapshots.newestCovered) note.at else snapshots.newestAt
+        snapshots = SnapshotView(maxOf(snapshots.newestCovered, note.covered), newest, stale)
     }
 
     private companion object {
--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/machine/MemberTable.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/machine/MemberTable.kt
@@ -5,7 +5,6 @@
 import kotlin.concurrent.withLock
 import kotlin.random.Random
 import kotlin.time.Duration
-import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
 /** What is believed of an entry VM; later entries win over earlier ones of the same incarnation and sequence. */
@@ -68,7 +67,7 @@
  * @property transmissions how often each piece of news is passed on.
  */
 public data class MembershipSettings(
-    val period: Duration = 500.milliseconds,
+    val period: Duration = 1.seconds,
     val suspicion: Duration = 3.seconds,
     val forgetAfter: Duration = 600.seconds,
     val updatesPerMessage: Int = 12,
--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/machine/Publisher.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/machine/Publisher.kt
@@ -14,6 +14,7 @@
 import dev.goldcrestquay.contract.LogRecords
 import dev.goldcrestquay.contract.Restart
 import dev.goldcrestquay.contract.ResultCode
+import dev.goldcrestquay.contract.Snapshot
 import dev.goldcrestquay.link.LinkFailure
 import dev.goldcrestquay.link.LogLink
 import kotlinx.coroutines.delay
@@ -22,6 +23,7 @@
 /** Reads the log and publishes on it, as an operator does. */
 public class Publisher(
     private val log: LogLink,
+    private val snapshots: LogLink,
 ) {
     private val table = EnvironmentTable()
 
@@ -33,6 +35,7 @@
             table.read(batch)
             if (table.nextOffset == before) break
         }
+        if (!table.complete) readSnapshot()
         return if (table.complete) Ok(table.state) else Err(ResultCode.LOG_BEHIND)
     }
 
@@ -79,6 +82,13 @@
         )
     }
 
+    private suspend fun readSnapshot() {
+        val at = table.snapshots.newestAt
+        val batch = snapshots.read(at).get() ?: return
+        val record = batch.entries.firstOrNull { it.offset == at }?.let { LogRecords.read(it.text) }
+        if (record is Snapshot) table.adopt(record.state)
+    }
+
     private suspend fun outcomeOf(change: EnvironmentChange): Result<ChangeOutcome, ResultCode>? {
         val state = state().getOrElse { code -> return if (code == ResultCode.LOG_BEHIND) Err(code) else Err(ResultCode.OUTCOME_OPEN) }
         return state.changes[change.id]?.let { Ok(it) }
