Append a lease claim again only after two seconds

Cause: a claim that the log did not show yet was appended in each round of 250 ms; in a storm that is four appends a second from each entry VM. Change: a pause of 2 s between claims of one service. The platform stand-in answers its refusals without logging them as faults.

--- a/goldcrestquay-standins/src/main/kotlin/dev/goldcrestquay/standins/PlatformServer.kt
+++ b/goldcrestquay-standins/src/main/kotlin/dev/goldcrestquay/standins/PlatformServer.kt
@@ -84,8 +84,8 @@
         success = { context.endJson(body(it)) },
         failure = { failure ->
             when (failure) {
-                LinkFailure.UNREACHABLE -> context.fail(UNAVAILABLE)
-                LinkFailure.THROTTLED -> context.fail(TOO_MANY_REQUESTS)
+                LinkFailure.UNREACHABLE -> context.response().setStatusCode(UNAVAILABLE).end()
+                LinkFailure.THROTTLED -> context.response().setStatusCode(TOO_MANY_REQUESTS).end()
                 LinkFailure.REPLY_LOST -> context.request().connection().close()
             }
         },
--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/machine/LeaseTable.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/machine/LeaseTable.kt
@@ -15,11 +15,13 @@
  * @property duration how long a claim lasts, counted by the holder from before its append.
  * @property renewAfter the age at which the holder renews.
  * @property margin what others wait beyond the duration, counted from when they read the claim.
+ * @property claimPause the time after which a claim that the log does not show is appended again.
  */
 public data class LeaseSettings(
     val duration: Duration = 30.seconds,
     val renewAfter: Duration = 12.seconds,
     val margin: Duration = 1.seconds,
+    val claimPause: Duration = 2.seconds,
 )
 
 /**
@@ -36,6 +38,7 @@
     private val lock = ReentrantLock()
     private val seenAt = mutableMapOf<String, Pair<Lease, Duration>>()
     private val claimedAt = mutableMapOf<Pair<String, Long>, Duration>()
+    private val lastClaim = mutableMapOf<String, Duration>()
     private val heldUntil = mutableMapOf<String, Duration>()
 
     /** Takes in the leases of [state]. */
@@ -66,6 +69,7 @@
             if (due.isEmpty()) return null
             val replaces = due.associateWith { seenAt[it]?.first?.offset ?: 0L }
             replaces.forEach { (service, offset) -> claimedAt.putIfAbsent(service to offset, now) }
+            due.forEach { lastClaim[it] = now }
             LeaseClaim(identity, replaces)
         }
 
@@ -81,6 +85,8 @@
         service: String,
         now: Duration,
     ): Boolean {
+        val claimed = lastClaim[service]
+        if (claimed != null && now - claimed < settings.claimPause) return false
         val (lease, since) = seenAt[service] ?: return true
         val start = heldUntil[service]?.minus(settings.duration)
         return when {
