Judge accepted changes by an oracle of their own

Cause: a mutant that accepted a change on any base survived 150 histories, since the fuzz took its truth from the same replay.

--- a/goldcrestquay-benchmarks/src/main/kotlin/dev/goldcrestquay/benchmarks/capacity/CapacityMain.kt
+++ b/goldcrestquay-benchmarks/src/main/kotlin/dev/goldcrestquay/benchmarks/capacity/CapacityMain.kt
@@ -89,7 +89,8 @@
     val highest = line.maxOf { it.value }.coerceAtLeast(Double.MIN_VALUE)
     val points = line.joinToString(" ") { "%.1f,%.1f".format(it.size / largest * PLOT_WIDTH, PLOT_HEIGHT * (1 - it.value / highest)) }
     val labels = line.joinToString(", ") { "%d: %.4g".format(it.size, it.value) }
-    return "<svg width=$PLOT_WIDTH height=$PLOT_HEIGHT style='border:1px solid #ccc'><polyline fill=none stroke=#06c points='$points'/></svg><p>$labels</p>"
+    return "<svg width=$PLOT_WIDTH height=$PLOT_HEIGHT style='border:1px solid #ccc'>" +
+        "<polyline fill=none stroke=#06c points='$points'/></svg><p>$labels</p>"
 }
 
 private const val PLOT_WIDTH = 600
--- a/goldcrestquay-benchmarks/src/main/kotlin/dev/goldcrestquay/benchmarks/fleet/StateFuzz.kt
+++ b/goldcrestquay-benchmarks/src/main/kotlin/dev/goldcrestquay/benchmarks/fleet/StateFuzz.kt
@@ -2,7 +2,9 @@
 
 import com.github.michaelbull.result.get
 import dev.goldcrestquay.contract.Environment
+import dev.goldcrestquay.contract.EnvironmentChange
 import dev.goldcrestquay.contract.EnvironmentState
+import dev.goldcrestquay.contract.LogRecord
 import dev.goldcrestquay.contract.LogRecords
 import dev.goldcrestquay.contract.Restart
 import dev.goldcrestquay.contract.Snapshot
@@ -133,6 +135,7 @@
     private var states = mutableMapOf(0L to EnvironmentState())
     private var replayed = EnvironmentState()
     private var numbers = 0
+    private val acceptance = AcceptanceOracle()
 
     suspend fun run(history: List<FleetAction>) {
         fleet.lossShare = LOSS_SHARE
@@ -247,8 +250,11 @@
 
     private fun replay() {
         for (entry in fleet.log.history.drop(replayed.offset.toInt())) {
-            replayed = replayed.after(entry.offset, LogRecords.read(entry.text))
+            val record = LogRecords.read(entry.text)
+            replayed = replayed.after(entry.offset, record)
             states[entry.offset] = replayed
+            val expected = acceptance.after(entry.offset, record)
+            check(replayed.generation == expected) { "generation ${replayed.generation} instead of $expected after $record" }
         }
     }
 
@@ -300,3 +306,23 @@
         const val CHECKS_PER_SECOND = 4
     }
 }
+
+/** Says which generation is in force, from nothing but bases, identifiers and the one kind of bad record that histories hold. */
+private class AcceptanceOracle {
+    private var generation = 0L
+    private val seen = mutableSetOf<String>()
+
+    fun after(
+        offset: Long,
+        record: LogRecord?,
+    ): Long {
+        val accepted =
+            when (record) {
+                is EnvironmentChange -> seen.add(record.id) && record.base == generation && "nowhere" !in record.dataCentresOut.orEmpty()
+                is Restart -> true
+                else -> false
+            }
+        if (accepted) generation = offset
+        return generation
+    }
+}
--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/machine/MemberTable.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/machine/MemberTable.kt
@@ -153,11 +153,15 @@
             refresh()
         }
 
-    /** Notes that an exchange with [peerAddress] failed. */
+    /** Notes that an exchange with [peerAddress] failed; a leaving member that no longer answers has left. */
     public fun failed(peerAddress: String): Unit =
         lock.withLock {
             val entry = entries.values.firstOrNull { it.record.peerAddress == peerAddress } ?: return
-            if (entry.record.status == MemberStatus.ALIVE) set(entry, entry.record.copy(status = MemberStatus.SUSPECT))
+            when (entry.record.status) {
+                MemberStatus.ALIVE -> set(entry, entry.record.copy(status = MemberStatus.SUSPECT))
+                MemberStatus.LEAVING -> set(entry, entry.record.copy(status = MemberStatus.DEAD))
+                MemberStatus.SUSPECT, MemberStatus.DEAD -> Unit
+            }
             refresh()
         }
 
--- a/goldcrestquay/src/test/kotlin/dev/goldcrestquay/machine/MemberTableTest.kt
+++ b/goldcrestquay/src/test/kotlin/dev/goldcrestquay/machine/MemberTableTest.kt
@@ -55,6 +55,13 @@
         names() shouldBe emptyList<String>()
     }
 
+    @Test
+    fun `a leaving member that no longer answers has left`() {
+        table.merge(listOf(member("x", status = MemberStatus.LEAVING)))
+        table.failed("peer-x")
+        table.all().map { it.name to it.status } shouldBe listOf("x" to MemberStatus.DEAD, "self" to MemberStatus.ALIVE)
+    }
+
     @Test
     fun `the VM list gives addresses to try and nothing else`() {
         table.listed(listOf(ListedVm("y", "b", "peer-y")))
