Let an entry VM cut from the log follow its peers within three seconds

Cause: the new fleet test found an entry VM cut from the log still using a data centre 3 s after it was taken out: it took the log for reachable until 3 s had passed, and asked peers only in its own exchanges. A VM also read the VM list up to 10 s after its start. Change: a VM catches up from a peer once the log missed two read periods, also when that peer came to it; all loops start within half a second.

--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/machine/EntryControl.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/machine/EntryControl.kt
@@ -37,6 +37,9 @@
     private var logReadAt = -Duration.INFINITE
     private var appliedOffset = -1L
     private var triedSnapshot = 0L
+
+    @Volatile
+    private var aheadPeer: String? = null
     private var placedAt = -Duration.INFINITE
     private var placedFor: Pair<Long, List<MemberRecord>>? = null
 
@@ -66,6 +69,7 @@
     /** Answers a peer's exchange. */
     public fun exchanged(message: ExchangeMessage): ExchangeMessage {
         merge(message)
+        if (message.offset > vm.environments.state.offset) aheadPeer = message.sender
         return message()
     }
 
@@ -89,7 +93,7 @@
         period: Duration,
         round: suspend () -> Unit,
     ) {
-        delay(period * random.nextDouble())
+        delay(minOf(period, LONGEST_START) * random.nextDouble())
         while (true) {
             round()
             delay(period * (1.0 + (random.nextDouble() - HALF) * PERIOD_SPREAD))
@@ -161,11 +165,20 @@
         val answer = withTimeoutOrNull(settings.peerTimeout) { links.peers.exchange(peerAddress, message()).get() }
         if (answer == null) return vm.members.failed(peerAddress)
         merge(answer)
-        val behind = answer.offset > vm.environments.state.offset || !vm.environments.complete
-        if (behind && (!logReachable || !vm.environments.complete)) catchUpFrom(peerAddress)
+        if (answer.offset > vm.environments.state.offset || !vm.environments.complete) catchUpFrom(peerAddress)
+    }
+
+    /** Takes what a peer has more of, once the log did not answer for two periods or cannot complete the state. */
+    private suspend fun followPeer() {
+        val sender = aheadPeer ?: return
+        aheadPeer = null
+        val address = vm.members.all().firstOrNull { it.identity == sender }?.peerAddress ?: return
+        catchUpFrom(address)
     }
 
     private suspend fun catchUpFrom(peerAddress: String) {
+        val logAnswers = links.clock() - logReadAt < settings.logPeriod * LOG_PERIODS
+        if (logAnswers && vm.environments.complete) return
         val offset = if (vm.environments.complete) vm.environments.state.offset else WHOLE_STATE
         withTimeoutOrNull(settings.peerTimeout) { links.peers.catchUp(peerAddress, offset) }?.onSuccess {
             when (it) {
@@ -208,6 +221,7 @@
         }
 
     private suspend fun decide() {
+        followPeer()
         apply()
         if (vm.environments.state.environment == null || vm.leaving) return
         vm.leases.claim(wantedLeases())?.let { append(it) }
@@ -268,12 +282,14 @@
 
     private companion object {
         const val HALF = 0.5
+        const val LOG_PERIODS = 2
         const val PERIOD_SPREAD = 0.2
         const val MAXIMUM_BATCHES = 64
         const val LEAVE_NOTICES = 8
         const val CARRIER_CONNECTIONS = 0.75
         const val WHOLE_STATE = -1L
         val LOG_FRESH = 3.seconds
+        val LONGEST_START = 500.milliseconds
         val PLACEMENT_PAUSE = 1.seconds
         val PROBE_ROUND = 100.milliseconds
     }
