--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/machine/EntryControl.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/machine/EntryControl.kt
@@ -172,7 +172,11 @@
     private suspend fun followPeer() {
         val sender = aheadPeer ?: return
         aheadPeer = null
-        val address = vm.members.all().firstOrNull { it.identity == sender }?.peerAddress ?: return
+        val address =
+            vm.members
+                .all()
+                .firstOrNull { it.identity == sender }
+                ?.peerAddress ?: return
         catchUpFrom(address)
     }
 
