--- a/goldcrestquay-benchmarks/src/main/kotlin/dev/goldcrestquay/benchmarks/capacity/CapacityMain.kt
+++ b/goldcrestquay-benchmarks/src/main/kotlin/dev/goldcrestquay/benchmarks/capacity/CapacityMain.kt
@@ -2,6 +2,7 @@
 
 import dev.goldcrestquay.contract.Environment
 import dev.goldcrestquay.contract.JsonDocument
+import dev.goldcrestquay.contract.environment
 import kotlinx.cli.ArgParser
 import kotlinx.cli.ArgType
 import kotlinx.cli.default
@@ -58,7 +59,7 @@
     targetsEach: Int,
     dataCentres: Int = 13,
 ): Environment =
-    dev.goldcrestquay.contract.environment("capacity") {
+    environment("capacity") {
         (0 until dataCentres).groupBy { it % REGIONS }.forEach { (number, list) ->
             region("region-$number") { list.forEach { dataCentre("dc-$it") } }
         }
--- a/goldcrestquay-benchmarks/src/main/kotlin/dev/goldcrestquay/benchmarks/capacity/ControlSlopes.kt
+++ b/goldcrestquay-benchmarks/src/main/kotlin/dev/goldcrestquay/benchmarks/capacity/ControlSlopes.kt
@@ -1,6 +1,8 @@
 package dev.goldcrestquay.benchmarks.capacity
 
+import com.sun.management.OperatingSystemMXBean
 import dev.goldcrestquay.benchmarks.fleet.FakeFleet
+import dev.goldcrestquay.benchmarks.fleet.LinkCounts
 import dev.goldcrestquay.contract.Environment
 import dev.goldcrestquay.peer.toProtocol
 import kotlinx.coroutines.delay
@@ -98,8 +100,7 @@
     val probes: Long,
 )
 
-private fun dev.goldcrestquay.benchmarks.fleet.LinkCounts.copyOf(): CountsCopy =
+private fun LinkCounts.copyOf(): CountsCopy =
     CountsCopy(exchangeBytes, logReadBytes + logAppendBytes, logReads + logAppends, logAppends, logReads, probes)
 
-internal fun processorNanoseconds(): Long =
-    (ManagementFactory.getOperatingSystemMXBean() as com.sun.management.OperatingSystemMXBean).processCpuTime
+internal fun processorNanoseconds(): Long = (ManagementFactory.getOperatingSystemMXBean() as OperatingSystemMXBean).processCpuTime
--- a/goldcrestquay-benchmarks/src/main/kotlin/dev/goldcrestquay/benchmarks/capacity/LocalSlopes.kt
+++ b/goldcrestquay-benchmarks/src/main/kotlin/dev/goldcrestquay/benchmarks/capacity/LocalSlopes.kt
@@ -1,5 +1,6 @@
 package dev.goldcrestquay.benchmarks.capacity
 
+import com.sun.management.ThreadMXBean
 import dev.goldcrestquay.contract.LogRecords
 import dev.goldcrestquay.contract.changeBetween
 import dev.goldcrestquay.link.LoadReport
@@ -61,7 +62,7 @@
 }
 
 private fun allocatedBytes(): Long =
-    (ManagementFactory.getThreadMXBean() as com.sun.management.ThreadMXBean).getThreadAllocatedBytes(Thread.currentThread().id)
+    (ManagementFactory.getThreadMXBean() as ThreadMXBean).getThreadAllocatedBytes(Thread.currentThread().id)
 
 /** The time to place all services anew after a change of the members. */
 internal fun placementPoints(): List<CapacityPoint> {
--- a/goldcrestquay-benchmarks/src/main/kotlin/dev/goldcrestquay/benchmarks/fleet/CallFuzz.kt
+++ b/goldcrestquay-benchmarks/src/main/kotlin/dev/goldcrestquay/benchmarks/fleet/CallFuzz.kt
@@ -5,8 +5,10 @@
 import dev.goldcrestquay.contract.Target
 import dev.goldcrestquay.link.Refusal
 import dev.goldcrestquay.link.SendResult
+import dev.goldcrestquay.machine.EntrySettings
 import dev.goldcrestquay.routing.Call
 import dev.goldcrestquay.routing.CallKey
+import dev.goldcrestquay.routing.RoutingSettings
 import io.kotest.property.Arb
 import io.kotest.property.arbitrary.bind
 import io.kotest.property.arbitrary.enum
@@ -82,7 +84,8 @@
     private val scope: TestScope,
     seed: Long,
 ) {
-    private val fleet = FakeFleet(scope, seed)
+    /** Every call may be sent again, so that short histories reach the rules about repeats. */
+    private val fleet = FakeFleet(scope, seed, EntrySettings(routing = RoutingSettings(retryShare = 1.0)))
     private val runs = mutableMapOf<Int, Int>()
     private val ran = mutableSetOf<CallerAttempt>()
     private val identities = mutableListOf<String>()
--- a/goldcrestquay-daemon/src/main/kotlin/dev/goldcrestquay/daemon/EntryDaemon.kt
+++ b/goldcrestquay-daemon/src/main/kotlin/dev/goldcrestquay/daemon/EntryDaemon.kt
@@ -20,6 +20,7 @@
 import io.opentelemetry.api.OpenTelemetry
 import io.vertx.core.Vertx
 import io.vertx.core.http.HttpServer
+import io.vertx.core.internal.VertxInternal
 import io.vertx.kotlin.coroutines.coAwait
 import io.vertx.kotlin.coroutines.dispatcher
 import kotlinx.coroutines.CoroutineScope
@@ -31,6 +32,8 @@
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
 import org.apache.logging.log4j.kotlin.Logging
+import java.net.InetAddress
+import java.net.ServerSocket
 import kotlin.random.Random
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.microseconds
@@ -143,12 +146,11 @@
 
 private val OTHER_REGION = 50.milliseconds
 
-private fun freePort(host: String): Int = java.net.ServerSocket(0, 1, java.net.InetAddress.getByName(host)).use { it.localPort }
+/** A port that was free a moment ago, since all event loops must listen on the same one. */
+private fun freePort(host: String): Int = ServerSocket(0, 1, InetAddress.getByName(host)).use { it.localPort }
 
+/** Runs [block] on an event loop of its own, so that servers on one port share its connections. */
 private suspend fun <T> Vertx.onNewContext(block: suspend () -> T): T {
-    val context = orCreateContextForNewLoop()
+    val context = (this as VertxInternal).createEventLoopContext()
     return CoroutineScope(context.dispatcher()).async { block() }.await()
 }
-
-private fun Vertx.orCreateContextForNewLoop(): io.vertx.core.Context =
-    (this as io.vertx.core.internal.VertxInternal).createEventLoopContext()
--- a/goldcrestquay-standins/src/main/kotlin/dev/goldcrestquay/standins/StandInLog.kt
+++ b/goldcrestquay-standins/src/main/kotlin/dev/goldcrestquay/standins/StandInLog.kt
@@ -9,6 +9,7 @@
 import dev.goldcrestquay.link.LogEntry
 import java.util.concurrent.locks.ReentrantLock
 import kotlin.concurrent.withLock
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 
 /**
@@ -24,7 +25,7 @@
 ) {
     private val lock = ReentrantLock()
     private val entries = ArrayDeque<LogEntry>()
-    private val recentAppends = ArrayDeque<kotlin.time.Duration>()
+    private val recentAppends = ArrayDeque<Duration>()
     private var next = 1L
 
     /** Whether the log answers nothing. */
--- a/goldcrestquay-standins/src/main/kotlin/dev/goldcrestquay/standins/lab/OverheadMain.kt
+++ b/goldcrestquay-standins/src/main/kotlin/dev/goldcrestquay/standins/lab/OverheadMain.kt
@@ -1,5 +1,6 @@
 package dev.goldcrestquay.standins.lab
 
+import com.sun.management.OperatingSystemMXBean
 import dev.goldcrestquay.contract.environment
 import io.vertx.core.Vertx
 import io.vertx.core.http.HttpClientAgent
@@ -143,5 +144,4 @@
     }
 }
 
-private fun processorNanoseconds(): Long =
-    (ManagementFactory.getOperatingSystemMXBean() as com.sun.management.OperatingSystemMXBean).processCpuTime
+private fun processorNanoseconds(): Long = (ManagementFactory.getOperatingSystemMXBean() as OperatingSystemMXBean).processCpuTime
--- a/goldcrestquay-standins/src/main/kotlin/dev/goldcrestquay/standins/lab/Timeline.kt
+++ b/goldcrestquay-standins/src/main/kotlin/dev/goldcrestquay/standins/lab/Timeline.kt
@@ -2,6 +2,7 @@
 
 import dev.goldcrestquay.contract.Move
 import dev.goldcrestquay.contract.MoveStep
+import dev.goldcrestquay.standins.TargetBehaviour
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
@@ -55,7 +56,7 @@
 
     private fun behave(
         target: String,
-        change: (dev.goldcrestquay.standins.TargetBehaviour) -> dev.goldcrestquay.standins.TargetBehaviour,
+        change: (TargetBehaviour) -> TargetBehaviour,
     ) {
         deployment.targets[target]?.let { it.behaviour = change(it.behaviour) }
     }
--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/routing/AttemptTable.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/routing/AttemptTable.kt
@@ -94,11 +94,9 @@
     public suspend fun answer(question: KeyQuestion): KeyAnswer {
         val entry = fenceOrFind(question)
         val other = lock.withLock { entry.fencedBy }
-        if (entry.fingerprint ==
-            null
-        ) {
-            return if (other == question.asker) KeyAnswer(KeyFate.FENCED) else KeyAnswer(KeyFate.FENCED_BY_OTHER, other)
-        }
+        val neverSeen = entry.fingerprint == null
+        if (neverSeen && other == question.asker) return KeyAnswer(KeyFate.FENCED)
+        if (neverSeen) return KeyAnswer(KeyFate.FENCED_BY_OTHER, other)
         if (entry.end.await()) return KeyAnswer(KeyFate.RAN)
         return afterNotRun(question)
     }
--- a/goldcrestquay/src/test/kotlin/dev/goldcrestquay/routing/CallRouterTest.kt
+++ b/goldcrestquay/src/test/kotlin/dev/goldcrestquay/routing/CallRouterTest.kt
@@ -3,6 +3,7 @@
 import dev.goldcrestquay.DESK
 import dev.goldcrestquay.contract.Outcome
 import dev.goldcrestquay.contract.ResultCode
+import dev.goldcrestquay.link.Attempt
 import dev.goldcrestquay.link.Clock
 import dev.goldcrestquay.link.Refusal
 import dev.goldcrestquay.link.SendAttempt
@@ -10,6 +11,7 @@
 import io.kotest.assertions.withClue
 import io.kotest.matchers.ints.shouldBeLessThan
 import io.kotest.matchers.shouldBe
+import kotlinx.coroutines.ExperimentalCoroutinesApi
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.test.TestScope
 import kotlinx.coroutines.test.currentTime
@@ -22,7 +24,7 @@
 class CallRouterTest {
     private val generous = RoutingSettings(retryShare = 1.0)
 
-    @OptIn(kotlinx.coroutines.ExperimentalCoroutinesApi::class)
+    @OptIn(ExperimentalCoroutinesApi::class)
     private fun TestScope.clock(): Clock = { currentTime.milliseconds }
 
     private fun TestScope.router(settings: RoutingSettings = generous) =
@@ -95,7 +97,7 @@
                     hop
                 }
             repeat(1000) {
-                chain(DESK.targets[0], dev.goldcrestquay.link.Attempt(1, 5.seconds, 3))
+                chain(DESK.targets[0], Attempt(1, 5.seconds, 3))
                 delay(5)
             }
             sent shouldBeLessThan 1100
