Hold a move's step from its start

Cause: the demo's good move of survey was taken back at its deadline: the hold of a step began only when there was evidence enough, some ten seconds into the 5 % step, so three steps of 5 s did not fit into 28 s. Change: each entry VM notes when it first saw a step, whatever the evidence; the step still advances only with evidence enough.

--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/move/MoveController.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/move/MoveController.kt
@@ -98,9 +98,10 @@
         val stop = stops[key]
         val now = clock()
         val holds = heldUntil(move.service) > now + APPEND_ALLOWANCE
+        val held = held(move, progress, now)
         return when {
             stop != null -> paced(move, Verdict(move.name, progress.started, VerdictKind.TAKEN_BACK, stop.reason, identity))
-            holds && judgement == Judgement.Healthy && held(move, progress, now) -> paced(move, nextRecord(move, progress, service))
+            holds && held && judgement == Judgement.Healthy -> paced(move, nextRecord(move, progress, service))
             else -> null
         }
     }
--- a/goldcrestquay/src/test/kotlin/dev/goldcrestquay/machine/EnvironmentTableTest.kt
+++ b/goldcrestquay/src/test/kotlin/dev/goldcrestquay/machine/EnvironmentTableTest.kt
@@ -83,6 +83,14 @@
         table.state.generation shouldBe 2
     }
 
+    @Test
+    fun `an incomplete reader does not take an older state of a peer`() {
+        val table = EnvironmentTable().apply { read(batch(5, SnapshotNote(7, 1, 1))) }
+        listOf(stateAfter(first, second), stateAfter(first)).map { table.adopt(it) } shouldBe listOf(true, false)
+        table.complete shouldBe false
+        table.state.generation shouldBe 2
+    }
+
     @Test
     fun `peers relay the records that one of them lacks`() {
         val ahead = EnvironmentTable().apply { read(batch(1, first, second)) }
--- a/goldcrestquay/src/test/kotlin/dev/goldcrestquay/move/MoveControllerTest.kt
+++ b/goldcrestquay/src/test/kotlin/dev/goldcrestquay/move/MoveControllerTest.kt
@@ -52,6 +52,14 @@
         share() shouldBe 1.0
     }
 
+    @Test
+    fun `a step is held from its start, not from when there is evidence enough`() {
+        decide() shouldBe emptyList()
+        clock.now = 1.seconds
+        record("new-1", 100)
+        decide() shouldBe listOf(MoveAdvance("desk-to-2", 1, 1))
+    }
+
     @Test
     fun `only the lease holder advances`() {
         record("new-1", 100)
