--- a/goldcrestquay-benchmarks/src/main/kotlin/dev/goldcrestquay/benchmarks/capacity/ControlSlopes.kt
+++ b/goldcrestquay-benchmarks/src/main/kotlin/dev/goldcrestquay/benchmarks/capacity/ControlSlopes.kt
@@ -1,13 +1,12 @@
 package dev.goldcrestquay.benchmarks.capacity
 
-import com.sun.management.OperatingSystemMXBean
 import dev.goldcrestquay.benchmarks.fleet.FakeFleet
 import dev.goldcrestquay.benchmarks.fleet.LinkCounts
 import dev.goldcrestquay.contract.Environment
 import dev.goldcrestquay.peer.toProtocol
+import dev.goldcrestquay.standins.lab.processorNanoseconds
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.test.runTest
-import java.lang.management.ManagementFactory
 import kotlin.time.Duration.Companion.minutes
 
 private val FLEET_SIZES = listOf(13, 50, 150, 400)
@@ -102,5 +101,3 @@
 
 private fun LinkCounts.copyOf(): CountsCopy =
     CountsCopy(exchangeBytes, logReadBytes + logAppendBytes, logReads + logAppends, logAppends, logReads, probes)
-
-internal fun processorNanoseconds(): Long = (ManagementFactory.getOperatingSystemMXBean() as OperatingSystemMXBean).processCpuTime
--- a/goldcrestquay-standins/src/main/kotlin/dev/goldcrestquay/standins/lab/Callers.kt
+++ b/goldcrestquay-standins/src/main/kotlin/dev/goldcrestquay/standins/lab/Callers.kt
@@ -6,6 +6,7 @@
 import io.vertx.core.Vertx
 import io.vertx.core.VertxException
 import io.vertx.core.http.HttpClientOptions
+import io.vertx.core.http.HttpClientResponse
 import io.vertx.core.http.HttpMethod
 import io.vertx.core.http.PoolOptions
 import io.vertx.core.http.RequestOptions
@@ -150,12 +151,7 @@
             val options = options(entry.address, "/$service/lookup").setMethod(if (idempotent) HttpMethod.GET else HttpMethod.POST)
             options.addHeader("call-id", call)
             if (!idempotent) options.addHeader(CallHeaders.IDEMPOTENCY_KEY, call)
-            val response =
-                client
-                    .request(options)
-                    .coAwait()
-                    .send()
-                    .coAwait()
+            val response = send(options)
             val code = response.getHeader(CallHeaders.CODE)?.toIntOrNull() ?: 0
             val body = response.body().coAwait().toString()
             val version = body.substringAfter("\"version\":\"", "").substringBefore('"')
@@ -206,17 +202,9 @@
             .take(ASK_ATTEMPTS)) {
             try {
                 val options = options(daemon.callerAddress, "/entries?service=$service&data-centre=$dataCentre")
-                val response =
-                    client
-                        .request(options)
-                        .coAwait()
-                        .send()
-                        .coAwait()
-                if (response.statusCode() ==
-                    OK
-                ) {
-                    return Json.decodeFromString(AddressAnswer.serializer(), response.body().coAwait().toString())
-                }
+                val response = send(options)
+                if (response.statusCode() != OK) continue
+                return Json.decodeFromString(AddressAnswer.serializer(), response.body().coAwait().toString())
             } catch (_: IOException) {
                 continue
             } catch (_: VertxException) {
@@ -228,6 +216,8 @@
         return null
     }
 
+    private suspend fun send(options: RequestOptions): HttpClientResponse = client.request(options).compose { it.send() }.coAwait()
+
     private fun options(
         address: String,
         uri: String,
--- a/goldcrestquay-standins/src/main/kotlin/dev/goldcrestquay/standins/lab/OverheadMain.kt
+++ b/goldcrestquay-standins/src/main/kotlin/dev/goldcrestquay/standins/lab/OverheadMain.kt
@@ -144,4 +144,5 @@
     }
 }
 
-private fun processorNanoseconds(): Long = (ManagementFactory.getOperatingSystemMXBean() as OperatingSystemMXBean).processCpuTime
+/** The processor time that this process has used, in nanoseconds. */
+fun processorNanoseconds(): Long = (ManagementFactory.getOperatingSystemMXBean() as OperatingSystemMXBean).processCpuTime
--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/machine/EntryControl.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/machine/EntryControl.kt
@@ -120,8 +120,7 @@
         if (vm.environments.complete || at == 0L || at == triedSnapshot) return
         val batch = withTimeoutOrNull(settings.logTimeout) { links.snapshots.read(at).get() } ?: return
         triedSnapshot = at
-        val record = batch.entries.firstOrNull { it.offset == at }?.let { LogRecords.read(it.text) }
-        if (record is Snapshot) vm.environments.adopt(record.state)
+        vm.environments.adoptSnapshot(batch)
         apply()
     }
 
@@ -212,8 +211,10 @@
         vm.members.merge(message.members)
         vm.evidence.merge(message.sender, message.evidence)
         vm.moves.merge(message.stops)
+        if (message.warmth.isEmpty()) return
+        val tables = vm.services.tables
         message.warmth.forEach { notice ->
-            val table = vm.services.tables[notice.service] ?: return@forEach
+            val table = tables[notice.service] ?: return@forEach
             val target = table.service.targets.firstOrNull { it.name == notice.target } ?: return@forEach
             table.warmth(notice.target, if (notice.warm) Warmth.Warm(notice.startEpoch) else target.cold(notice.startEpoch))
         }
--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/machine/EnvironmentTable.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/machine/EnvironmentTable.kt
@@ -4,6 +4,7 @@
 import dev.goldcrestquay.contract.LogRecord
 import dev.goldcrestquay.contract.LogRecords
 import dev.goldcrestquay.contract.Restart
+import dev.goldcrestquay.contract.Snapshot
 import dev.goldcrestquay.contract.SnapshotNote
 import dev.goldcrestquay.contract.problems
 import dev.goldcrestquay.link.LogBatch
@@ -77,6 +78,13 @@
             true
         }
 
+    /** Takes in the newest snapshot noted, when [batch] from the stream of snapshots holds it. */
+    public fun adoptSnapshot(batch: LogBatch) {
+        val text = batch.entries.firstOrNull { it.offset == snapshots.newestAt }?.text ?: return
+        val record = LogRecords.read(text)
+        if (record is Snapshot) adopt(record.state)
+    }
+
     /** The records after [offset] that a peer lacks, or null when some of them are no longer kept here. */
     public fun recordsAfter(offset: Long): LogBatch? =
         lock.withLock {
--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/machine/Publisher.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/machine/Publisher.kt
@@ -14,7 +14,6 @@
 import dev.goldcrestquay.contract.LogRecords
 import dev.goldcrestquay.contract.Restart
 import dev.goldcrestquay.contract.ResultCode
-import dev.goldcrestquay.contract.Snapshot
 import dev.goldcrestquay.link.LinkFailure
 import dev.goldcrestquay.link.LogLink
 import kotlinx.coroutines.delay
@@ -35,7 +34,7 @@
             table.read(batch)
             if (table.nextOffset == before) break
         }
-        if (!table.complete) readSnapshot()
+        if (!table.complete) snapshots.read(table.snapshots.newestAt).get()?.let { table.adoptSnapshot(it) }
         return if (table.complete) Ok(table.state) else Err(ResultCode.LOG_BEHIND)
     }
 
@@ -82,13 +81,6 @@
         )
     }
 
-    private suspend fun readSnapshot() {
-        val at = table.snapshots.newestAt
-        val batch = snapshots.read(at).get() ?: return
-        val record = batch.entries.firstOrNull { it.offset == at }?.let { LogRecords.read(it.text) }
-        if (record is Snapshot) table.adopt(record.state)
-    }
-
     private suspend fun outcomeOf(change: EnvironmentChange): Result<ChangeOutcome, ResultCode>? {
         val state = state().getOrElse { code -> return if (code == ResultCode.LOG_BEHIND) Err(code) else Err(ResultCode.OUTCOME_OPEN) }
         return state.changes[change.id]?.let { Ok(it) }
