--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/machine/FleetExchange.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/machine/FleetExchange.kt
@@ -47,6 +47,7 @@
 /**
  * What a peer tells.
  *
+ * @property heldMilliseconds how long the peer kept this answer back.
  * @property ageMilliseconds how old the peer's facts may be, or null when it never had any from the store.
  * @property reader the peer address of the entry VM that reads the store for it, itself included; null when it knows none.
  * @property members all entry VMs, or null when nothing changed.
@@ -54,6 +55,7 @@
 @Serializable
 public data class ExchangeReply(
     val position: FactPosition,
+    val heldMilliseconds: Long,
     val ageMilliseconds: Long?,
     val reader: SocketAddress?,
     val records: List<SharedRecord>,
--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/machine/FleetFeed.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/machine/FleetFeed.kt
@@ -72,6 +72,7 @@
 
     /** Answers a peer; keeps it waiting while there is no news. */
     public suspend fun answer(request: ExchangeRequest): ExchangeReply {
+        val asked = clock()
         members.heard(request.sender)
         evidenceByMember[request.sender.name] = request.evidence
         val known = request.known?.takeIf { it.process == process }
@@ -81,6 +82,7 @@
         }
         return ExchangeReply(
             position = FactPosition(process, state.sequence, members.version),
+            heldMilliseconds = (clock() - asked).inWholeMilliseconds,
             ageMilliseconds = state.age().takeIf { it.isFinite() }?.inWholeMilliseconds,
             reader = reader,
             records = state.changesAfter(known?.sequence ?: 0),
@@ -110,7 +112,7 @@
             return
         }
         if (!read) delay(RETRY_PAUSE)
-        checkForBetterReader()
+        checkForOtherReader()
     }
 
     private suspend fun decideRollouts() {
@@ -121,14 +123,23 @@
         parts.controller.step(counts, alive.size)
     }
 
-    /** Of two readers, the one that comes later in the common order gives up. */
-    private suspend fun checkForBetterReader() {
+    /**
+     * Of two readers, one gives up: the first seed that answers is the arbiter, and the reader that it follows stays.
+     *
+     * Two readers each know their own followers only, so an order over known members would differ between them.
+     */
+    private suspend fun checkForOtherReader() {
         if (clock() - checkedAt < CHECK_INTERVAL) return
         checkedAt = clock()
-        val better = members.candidates(seeds).takeWhile { it != selfAddress }.filter { !isSilent(it) }
-        val candidate = better.randomOrNull() ?: return
-        val reply = ask(candidate, Duration.ZERO) ?: return
-        if (reply.reader == candidate && isFresh(reply)) become(candidate)
+        val arbiter = (seeds + members.candidates(seeds)).firstOrNull { !isSilent(it) } ?: return
+        if (arbiter == selfAddress) return
+        val reply = ask(arbiter, Duration.ZERO)
+        if (reply == null) {
+            silentUntil[arbiter] = clock() + PEER_PAUSE
+            return
+        }
+        val other = reply.reader?.takeIf { it != selfAddress && !isSilent(it) && isFresh(reply) } ?: return
+        become(other)
     }
 
     private suspend fun follow() {
@@ -159,7 +170,12 @@
         }
     }
 
-    private fun nextReader(): SocketAddress? = members.candidates(seeds).firstOrNull { !isSilent(it) }
+    /** The first in the common order that may answer; before any peer is known, this entry VM comes after the seeds. */
+    private fun nextReader(): SocketAddress? {
+        val order = members.candidates(seeds).filter { !isSilent(it) }
+        if (members.alive.size > 1 || selfAddress in seeds) return order.firstOrNull()
+        return order.firstOrNull { it != selfAddress } ?: order.firstOrNull()
+    }
 
     private fun become(newReader: SocketAddress?) {
         if (reader == newReader) return
@@ -192,7 +208,7 @@
     ) {
         positions[peer] = reply.position
         reply.records.forEach { state.apply(it) }
-        reply.ageMilliseconds?.let { state.confirm(asked - it.milliseconds) }
+        reply.ageMilliseconds?.let { state.confirm(asked + reply.heldMilliseconds.milliseconds - it.milliseconds) }
         if (!isReader) {
             reply.members?.let { members.follow(it) }
             state.steps(reply.rollouts)
@@ -241,6 +257,6 @@
         val LOAD_PAUSE = 50.milliseconds
 
         /** How often a reader looks for another reader. */
-        val CHECK_INTERVAL = 2.seconds
+        val CHECK_INTERVAL = 1.seconds
     }
 }
--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/routing/RequestForwarder.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/routing/RequestForwarder.kt
@@ -99,12 +99,18 @@
                     return notRun(ResultCode.OVERLOADED, expected - remaining)
                 }
                 val ended = attempt(attempt, chosen, expected)
-                last = ended.outcome
+                last = truthful(last, ended.outcome)
                 if (!ended.mayRepeat) return last
             }
             return last
         }
 
+        /** What may be said after [earlier] and then [newer]: a request that may have run once is never called not run. */
+        private fun truthful(
+            earlier: ForwardOutcome<Reply>,
+            newer: ForwardOutcome<Reply>,
+        ): ForwardOutcome<Reply> = if (newer is ForwardOutcome.NotRun && earlier !is ForwardOutcome.NotRun) earlier else newer
+
         private fun release(chosen: ChosenTarget<Connection>) {
             chosen.connection?.let { sampler.release(it) }
         }
--- /dev/null
+++ b/goldcrestquay/src/test/kotlin/dev/goldcrestquay/PlatformSamples.kt
@@ -0,0 +1,76 @@
+package dev.goldcrestquay
+
+import dev.goldcrestquay.contract.PlannedRoute
+import dev.goldcrestquay.contract.PlannedService
+import dev.goldcrestquay.contract.RequestKind
+import dev.goldcrestquay.contract.RequestLimits
+import dev.goldcrestquay.contract.RoutePlan
+import dev.goldcrestquay.contract.WeightedService
+import dev.goldcrestquay.machine.FleetMember
+import dev.goldcrestquay.machine.PlanRecord
+import dev.goldcrestquay.machine.RegisteredTarget
+import dev.goldcrestquay.machine.SocketAddress
+import dev.goldcrestquay.machine.TargetPhase
+import dev.goldcrestquay.machine.TargetRecord
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/** A route of [kind] on `shop.example` below `/kind/`. */
+fun plannedRoute(
+    kind: RequestKind = RequestKind.SAFE,
+    prefix: String = "/${kind.name.lowercase()}/",
+    attempts: Int = 2,
+    destinations: List<WeightedService> = listOf(WeightedService("shop", 1.0)),
+): PlannedRoute =
+    PlannedRoute("route-$prefix", "shop.example", prefix, kind, 1500.milliseconds, 400.milliseconds, 1, destinations, attempts)
+
+/** A plan with a route of each kind, unless others are given. */
+fun routePlan(
+    version: Long = 1,
+    routes: List<PlannedRoute> = RequestKind.entries.map { plannedRoute(it) },
+): RoutePlan =
+    RoutePlan(
+        version,
+        routes,
+        listOf(PlannedService("shop", "/health", 200, 7.0)),
+        RequestLimits(16_384, 67_108_864, 3.seconds, 15.seconds),
+    )
+
+/** The record of [routePlan]. */
+fun planRecord(
+    version: Long,
+    offset: Long = version,
+): PlanRecord = PlanRecord("config", offset, routePlan(version))
+
+/** A ready target of the service `shop`. */
+fun registeredTarget(
+    id: String,
+    phase: TargetPhase = TargetPhase.READY,
+    version: String = "v1",
+    startedAt: Long? = null,
+    heartbeat: Long = 1,
+    warmUpLeft: Duration = Duration.ZERO,
+    dataCentre: String = "north",
+): RegisteredTarget =
+    RegisteredTarget(id, "shop", SocketAddress("10.0.0.1", 8080), dataCentre, version, 4, phase, warmUpLeft, startedAt, heartbeat)
+
+/** The record of [target] at [offset]. */
+fun targetRecord(
+    target: RegisteredTarget,
+    offset: Long,
+): TargetRecord = TargetRecord(target.id, offset, target)
+
+/** A member of the fleet. */
+fun fleetMember(
+    number: Int,
+    incarnation: Long = 1,
+): FleetMember =
+    FleetMember(
+        "vm-$number",
+        incarnation,
+        "north",
+        SocketAddress("10.1.0.$number", 8000),
+        SocketAddress("10.1.0.$number", 9000),
+        true,
+    )
--- /dev/null
+++ b/goldcrestquay/src/test/kotlin/dev/goldcrestquay/machine/FakeFleet.kt
@@ -0,0 +1,84 @@
+package dev.goldcrestquay.machine
+
+import dev.goldcrestquay.fleetMember
+import dev.goldcrestquay.move.RolloutController
+import dev.goldcrestquay.move.VersionEvidence
+import kotlinx.coroutines.ExperimentalCoroutinesApi
+import kotlinx.coroutines.Job
+import kotlinx.coroutines.awaitCancellation
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.test.TestScope
+import kotlinx.coroutines.test.currentTime
+import kotlin.time.Duration.Companion.milliseconds
+
+/** Several entry VMs that exchange facts in memory, under virtual time. */
+@OptIn(ExperimentalCoroutinesApi::class)
+internal class FakeFleet(
+    private val scope: TestScope,
+    private val store: FakeStore,
+    private val seeds: List<Int> = listOf(1, 2, 3),
+) {
+    class Node(
+        val state: SharedState,
+        val members: FleetMembers,
+        val feed: FleetFeed,
+    ) {
+        lateinit var job: Job
+    }
+
+    private val nodes = HashMap<SocketAddress, Node>()
+
+    /** Whether two entry VMs reach each other. */
+    var connected: (SocketAddress, SocketAddress) -> Boolean = { _, _ -> true }
+
+    /** The running entry VMs. */
+    val running: Collection<Node> get() = nodes.values
+
+    /** Those that read the store. */
+    val readers: List<Node> get() = running.filter { it.feed.isReader }
+
+    /** Starts the entry VM with [number]. */
+    fun start(
+        number: Int,
+        incarnation: Long = 1,
+    ): Node {
+        val clock = { scope.currentTime.milliseconds }
+        val self = fleetMember(number, incarnation)
+        val state = SharedState(clock)
+        val members = FleetMembers(self, clock)
+        val link = store.link(self.name)
+        val reader = StoreReader(link, state, clock) { }
+        val controller = RolloutController(state, link, { reader.verdictsEnd }, { reader.followVerdicts() }, clock) { }
+        val parts =
+            FeedParts(state, members, reader, { peer, request -> exchange(self.peerAddress, peer, request) }, VersionEvidence(), controller)
+        val feed = FleetFeed(parts, seeds.map { fleetMember(it).peerAddress }, "${self.name}/$incarnation", clock) { }
+        val node = Node(state, members, feed)
+        nodes[self.peerAddress] = node
+        node.job = scope.backgroundScope.launch { feed.run() }
+        return node
+    }
+
+    /** Ends [node] without a word. */
+    fun kill(node: Node) {
+        node.job.cancel()
+        nodes.remove(node.members.self.peerAddress)
+    }
+
+    private suspend fun exchange(
+        from: SocketAddress,
+        to: SocketAddress,
+        request: ExchangeRequest,
+    ): ExchangeReply? {
+        delay(ONE_WAY_MILLISECONDS)
+        if (!connected(from, to)) awaitCancellation()
+        val reply = nodes[to]?.feed?.answer(request) ?: return null
+        delay(ONE_WAY_MILLISECONDS)
+        if (!connected(from, to)) awaitCancellation()
+        return reply
+    }
+
+    private companion object {
+        const val ONE_WAY_MILLISECONDS = 2L
+    }
+}
--- /dev/null
+++ b/goldcrestquay/src/test/kotlin/dev/goldcrestquay/machine/FakeStore.kt
@@ -0,0 +1,101 @@
+package dev.goldcrestquay.machine
+
+import dev.goldcrestquay.link.StoreLink
+import dev.goldcrestquay.link.StoreRecords
+import dev.goldcrestquay.link.StoreResult
+import dev.goldcrestquay.move.RolloutVerdict
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.awaitCancellation
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.withTimeoutOrNull
+
+/** How the store treats one entry VM's calls. */
+internal enum class Access { SERVED, REFUSED, SILENT }
+
+/** A store in memory under virtual time; [access] decides whom it serves. */
+internal class FakeStore {
+    private val logs = Feed.entries.associateWith { mutableListOf<SharedRecord>() }
+    private var written = CompletableDeferred<Unit>()
+
+    /** How calls of an entry VM are treated, by its name. */
+    var access: (String) -> Access = { Access.SERVED }
+
+    /** The calls so far. */
+    var calls = 0
+        private set
+
+    /** Appends the record that [make] gives for the next offset. */
+    fun write(
+        feed: Feed,
+        make: (Long) -> SharedRecord,
+    ) {
+        val log = logs.getValue(feed)
+        log += make(log.size.toLong())
+        written.complete(Unit)
+        written = CompletableDeferred()
+    }
+
+    /** Forgets all records but the newest of each key. */
+    fun forgetHistory(feed: Feed) {
+        forgotten += feed to logs.getValue(feed).size.toLong()
+    }
+
+    private val forgotten = HashMap<Feed, Long>()
+
+    fun link(name: String): StoreLink =
+        StoreLink(
+            newest = { feed -> serve(name) { StoreResult.Done(newest(feed)) } },
+            read = { feed, from, wait ->
+                serve(name) {
+                    if (from < (forgotten[feed] ?: 0)) {
+                        StoreResult.Forgotten
+                    } else {
+                        if (logs.getValue(feed).size <= from) withTimeoutOrNull(wait) { awaitRecord(feed, from) }
+                        val records = logs.getValue(feed).drop(from.toInt())
+                        StoreResult.Done(StoreRecords(records, from + records.size))
+                    }
+                }
+            },
+            writeVerdict = { service, verdict, end -> serve(name) { writeVerdict(service, verdict, end) } },
+        )
+
+    private fun writeVerdict(
+        service: String,
+        verdict: RolloutVerdict,
+        end: Long,
+    ): StoreResult<Long> {
+        if (logs.getValue(Feed.VERDICTS).size.toLong() != end) return StoreResult.Conflict
+        write(Feed.VERDICTS) { VerdictRecord("rollout/$service", it, service, verdict) }
+        return StoreResult.Done(end)
+    }
+
+    private suspend fun awaitRecord(
+        feed: Feed,
+        from: Long,
+    ) {
+        while (logs.getValue(feed).size <= from) written.await()
+    }
+
+    private fun newest(feed: Feed): StoreRecords {
+        val log = logs.getValue(feed)
+        val newest = log.associateBy { it.key }.values.filterNot { it is TargetRecord && it.target == null }
+        return StoreRecords(newest.toList(), log.size.toLong())
+    }
+
+    private suspend fun <T> serve(
+        name: String,
+        answer: suspend () -> StoreResult<T>,
+    ): StoreResult<T> {
+        calls++
+        delay(CALL_MILLISECONDS)
+        return when (access(name)) {
+            Access.SERVED -> answer()
+            Access.REFUSED -> StoreResult.Unavailable("refused")
+            Access.SILENT -> awaitCancellation()
+        }
+    }
+
+    private companion object {
+        const val CALL_MILLISECONDS = 4L
+    }
+}
--- /dev/null
+++ b/goldcrestquay/src/test/kotlin/dev/goldcrestquay/machine/FleetFeedTest.kt
@@ -0,0 +1,191 @@
+package dev.goldcrestquay.machine
+
+import dev.goldcrestquay.planRecord
+import dev.goldcrestquay.registeredTarget
+import dev.goldcrestquay.targetRecord
+import io.kotest.matchers.collections.shouldHaveSize
+import io.kotest.matchers.comparables.shouldBeLessThan
+import io.kotest.matchers.ints.shouldBeLessThan
+import io.kotest.matchers.shouldBe
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.test.TestScope
+import kotlinx.coroutines.test.runTest
+import org.junit.jupiter.api.Test
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+class FleetFeedTest {
+    private val store = FakeStore().apply { write(Feed.OPERATOR) { planRecord(1, it) } }
+
+    private fun TestScope.fleet(size: Int): FakeFleet = FakeFleet(this, store).also { fleet -> (1..size).forEach { fleet.start(it) } }
+
+    private fun FakeFleet.versions(): Set<Long?> =
+        running.mapTo(HashSet()) {
+            it.state.routes
+                ?.plan
+                ?.version
+        }
+
+    @Test
+    fun `one entry VM reads and all know each other`() =
+        runTest {
+            val fleet = fleet(13)
+            delay(4.seconds)
+            fleet.readers shouldHaveSize 1
+            fleet.running.map { it.members.alive.size }.toSet() shouldBe setOf(13)
+        }
+
+    @Test
+    fun `a calm second costs the whole fleet a few calls`() =
+        runTest {
+            val fleet = fleet(13)
+            delay(5.seconds)
+            val before = store.calls
+            delay(30.seconds)
+            (store.calls - before) shouldBeLessThan 30 * 3
+            fleet.readers shouldHaveSize 1
+        }
+
+    @Test
+    fun `a plan is in force everywhere within the bound`() =
+        runTest {
+            val fleet = fleet(13)
+            delay(5.seconds)
+            store.write(Feed.OPERATOR) { planRecord(2, it) }
+            delay(100.milliseconds)
+            fleet.versions() shouldBe setOf(2L)
+        }
+
+    @Test
+    fun `a plan written as the reader dies is in force within two seconds`() =
+        runTest {
+            val fleet = fleet(13)
+            delay(5.seconds)
+            fleet.kill(fleet.readers.single())
+            store.write(Feed.OPERATOR) { planRecord(2, it) }
+            delay(1900.milliseconds)
+            fleet.versions() shouldBe setOf(2L)
+            delay(3.seconds)
+            fleet.running.map { it.members.alive.size }.toSet() shouldBe setOf(12)
+        }
+
+    @Test
+    fun `a reader that falls silent is replaced within two seconds`() =
+        runTest {
+            val fleet = fleet(13)
+            delay(5.seconds)
+            val frozen =
+                fleet.readers
+                    .single()
+                    .members.self.peerAddress
+            fleet.connected = { from, to -> from != frozen && to != frozen }
+            store.access =
+                {
+                    if (fleet.running
+                            .first { node -> node.members.self.name == it }
+                            .members.self.peerAddress ==
+                        frozen
+                    ) {
+                        Access.SILENT
+                    } else {
+                        Access.SERVED
+                    }
+                }
+            store.write(Feed.OPERATOR) { planRecord(2, it) }
+            delay(1900.milliseconds)
+            fleet.running.filter { it.members.self.peerAddress != frozen }.mapTo(HashSet()) {
+                it.state.routes
+                    ?.plan
+                    ?.version
+            } shouldBe
+                setOf(2L)
+        }
+
+    @Test
+    fun `a reader that the store turns away follows another`() =
+        runTest {
+            listOf(Access.REFUSED, Access.SILENT).forEachIndexed { round, access ->
+                val fleet = fleet(13)
+                delay(5.seconds)
+                val turnedAway =
+                    fleet.readers
+                        .single()
+                        .members.self.name
+                store.access = { if (it == turnedAway) access else Access.SERVED }
+                val version = 2L + round
+                store.write(Feed.OPERATOR) { planRecord(version, it) }
+                delay(3.seconds)
+                fleet.versions() shouldBe setOf(version)
+                fleet.readers.map { it.members.self.name }.contains(turnedAway) shouldBe false
+                fleet.running.toList().forEach { fleet.kill(it) }
+                store.access = { Access.SERVED }
+            }
+        }
+
+    @Test
+    fun `members cut off from the store alone learn from their peers`() =
+        runTest {
+            val fleet = fleet(13)
+            delay(5.seconds)
+            store.access = { if (it in setOf("vm-1", "vm-2", "vm-3", "vm-4")) Access.REFUSED else Access.SERVED }
+            delay(3.seconds)
+            store.write(Feed.TARGETS) { targetRecord(registeredTarget("late"), it) }
+            delay(1500.milliseconds)
+            fleet.running.all { it.state.isReady("late") } shouldBe true
+        }
+
+    @Test
+    fun `all killed at once are served again at once`() =
+        runTest {
+            val fleet = fleet(13)
+            delay(5.seconds)
+            fleet.running.toList().forEach { fleet.kill(it) }
+            (1..13).forEach { fleet.start(it, incarnation = 2) }
+            delay(50.milliseconds)
+            fleet.versions() shouldBe setOf(1L)
+            delay(4.seconds)
+            fleet.readers shouldHaveSize 1
+        }
+
+    @Test
+    fun `facts stay young on every member`() =
+        runTest {
+            val fleet = fleet(13)
+            delay(5.seconds)
+            repeat(100) {
+                delay(97.milliseconds)
+                fleet.running.forEach { it.state.age() shouldBeLessThan 1500.milliseconds }
+            }
+        }
+
+    @Test
+    fun `entries that lapse while the store is away get two seconds to return`() =
+        runTest {
+            store.write(Feed.TARGETS) { targetRecord(registeredTarget("back"), it) }
+            store.write(Feed.TARGETS) { targetRecord(registeredTarget("lost"), it) }
+            val fleet = fleet(3)
+            delay(5.seconds)
+            store.access = { Access.REFUSED }
+            delay(4.seconds)
+            store.write(Feed.TARGETS) { TargetRecord("back", it, null) }
+            store.write(Feed.TARGETS) { TargetRecord("lost", it, null) }
+            store.access = { Access.SERVED }
+            delay(1.seconds)
+            fleet.running.all { it.state.isReady("back") && it.state.isReady("lost") } shouldBe true
+            store.write(Feed.TARGETS) { targetRecord(registeredTarget("back", heartbeat = 2), it) }
+            delay(4.seconds)
+            fleet.running.map { it.state.isReady("back") to it.state.isReady("lost") }.toSet() shouldBe setOf(true to false)
+        }
+
+    @Test
+    fun `forgotten history is read anew`() =
+        runTest {
+            val fleet = fleet(3)
+            delay(5.seconds)
+            store.write(Feed.TARGETS) { targetRecord(registeredTarget("a"), it) }
+            store.forgetHistory(Feed.TARGETS)
+            store.forgetHistory(Feed.OPERATOR)
+            delay(2.seconds)
+            fleet.running.all { it.state.isReady("a") } shouldBe true
+        }
+}
--- /dev/null
+++ b/goldcrestquay/src/test/kotlin/dev/goldcrestquay/machine/SharedStateTest.kt
@@ -0,0 +1,82 @@
+package dev.goldcrestquay.machine
+
+import dev.goldcrestquay.move.RolloutOrder
+import dev.goldcrestquay.move.RolloutOutcome
+import dev.goldcrestquay.move.RolloutPhase
+import dev.goldcrestquay.move.RolloutState
+import dev.goldcrestquay.move.RolloutVerdict
+import dev.goldcrestquay.planRecord
+import dev.goldcrestquay.registeredTarget
+import dev.goldcrestquay.targetRecord
+import io.kotest.matchers.collections.shouldBeEmpty
+import io.kotest.matchers.collections.shouldContainExactly
+import io.kotest.matchers.shouldBe
+import org.junit.jupiter.api.Test
+import kotlin.time.Duration.Companion.seconds
+
+class SharedStateTest {
+    private val state = SharedState { 10.seconds }
+
+    @Test
+    fun `a plan's version never goes down, whatever offset brings it`() {
+        state.apply(planRecord(version = 7, offset = 3)) shouldBe true
+        state.apply(planRecord(version = 5, offset = 9)) shouldBe false
+        state.routes?.plan?.version shouldBe 7
+    }
+
+    @Test
+    fun `the newest offset of a target wins`() {
+        state.apply(targetRecord(registeredTarget("a", TargetPhase.DRAINING, heartbeat = 2), offset = 5))
+        state.apply(targetRecord(registeredTarget("a", heartbeat = 1), offset = 4)) shouldBe false
+        state.isReady("a") shouldBe false
+    }
+
+    @Test
+    fun `a heartbeat of an earlier start is ignored, even at a later offset`() {
+        state.apply(targetRecord(registeredTarget("a", startedAt = 200, heartbeat = 1), offset = 5))
+        state.apply(targetRecord(registeredTarget("a", TargetPhase.DRAINING, startedAt = 100, heartbeat = 9), offset = 6)) shouldBe false
+        state.isReady("a") shouldBe true
+    }
+
+    @Test
+    fun `a heartbeat without news changes nothing`() {
+        state.apply(targetRecord(registeredTarget("a", heartbeat = 1), offset = 1))
+        val before = state.sequence
+        state.apply(targetRecord(registeredTarget("a", heartbeat = 2), offset = 2)) shouldBe false
+        state.sequence shouldBe before
+    }
+
+    @Test
+    fun `changes after a place are told once, oldest first`() {
+        state.apply(targetRecord(registeredTarget("a"), offset = 1))
+        val place = state.sequence
+        state.apply(targetRecord(registeredTarget("b"), offset = 2))
+        state.apply(TargetRecord("a", 3, null))
+        state.changesAfter(place).map { it.key } shouldContainExactly listOf("b", "a")
+        state.changesAfter(state.sequence).shouldBeEmpty()
+    }
+
+    @Test
+    fun `keys that a whole feed lacks are removed, but not those written since`() {
+        state.apply(targetRecord(registeredTarget("a"), offset = 1))
+        state.apply(targetRecord(registeredTarget("b"), offset = 9))
+        state.removals(Feed.TARGETS, setOf("c"), end = 5).map { it.key } shouldContainExactly listOf("a")
+    }
+
+    @Test
+    fun `a written verdict outweighs the steps that peers tell`() {
+        val order = RolloutOrder("shop", "v2", 12.seconds)
+        state.apply(RolloutRecord("rollout/shop", 4, "shop", order))
+        state.steps(listOf(RolloutState(order, 4, RolloutPhase.SHIFTED)))
+        state.rollouts().getValue("shop").phase shouldBe RolloutPhase.SHIFTED
+        state.apply(VerdictRecord("rollout/shop", 0, "shop", RolloutVerdict("v2", RolloutOutcome.ROLLED_BACK)))
+        state.rollouts().getValue("shop").phase shouldBe RolloutPhase.ROLLED_BACK
+    }
+
+    @Test
+    fun `a verdict on an earlier order says nothing of the next`() {
+        state.apply(VerdictRecord("rollout/shop", 0, "shop", RolloutVerdict("v2", RolloutOutcome.COMPLETED)))
+        state.apply(RolloutRecord("rollout/shop", 5, "shop", RolloutOrder("shop", "v3", 12.seconds)))
+        state.rollouts().getValue("shop").phase shouldBe RolloutPhase.TRIAL
+    }
+}
--- /dev/null
+++ b/goldcrestquay/src/test/kotlin/dev/goldcrestquay/routing/RequestForwarderTest.kt
@@ -0,0 +1,182 @@
+package dev.goldcrestquay.routing
+
+import dev.goldcrestquay.contract.RequestKind
+import dev.goldcrestquay.contract.ResultCode
+import dev.goldcrestquay.link.Refusal
+import dev.goldcrestquay.link.SendResult
+import dev.goldcrestquay.machine.RegisteredTarget
+import dev.goldcrestquay.machine.SharedState
+import dev.goldcrestquay.move.VersionEvidence
+import dev.goldcrestquay.planRecord
+import dev.goldcrestquay.registeredTarget
+import dev.goldcrestquay.targetRecord
+import io.kotest.matchers.collections.shouldBeEmpty
+import io.kotest.matchers.collections.shouldHaveSize
+import io.kotest.matchers.shouldBe
+import io.kotest.matchers.types.shouldBeInstanceOf
+import kotlinx.coroutines.ExperimentalCoroutinesApi
+import kotlinx.coroutines.awaitCancellation
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.test.TestScope
+import kotlinx.coroutines.test.currentTime
+import kotlinx.coroutines.test.runTest
+import org.junit.jupiter.api.Test
+import kotlin.random.Random
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+@OptIn(ExperimentalCoroutinesApi::class)
+class RequestForwarderTest {
+    private val loads = HashMap<String, LoadSample>()
+    private val sends = mutableListOf<String>()
+    private val released = mutableListOf<String>()
+
+    private fun TestScope.forwarder(targets: List<RegisteredTarget>): RequestForwarder<String, String> {
+        val clock = { currentTime.milliseconds }
+        val state = SharedState(clock)
+        state.apply(planRecord(1))
+        targets.forEachIndexed { index, target -> state.apply(targetRecord(target, index.toLong())) }
+        val random = Random(3)
+        val table = TargetTable(state, "north", clock, random, ColdAllowance("vm-1", clock) { listOf("vm-1") })
+        val probe: suspend (RegisteredTarget, Any) -> Probe<String>? = { target, _ ->
+            delay(1)
+            Probe(loads[target.id] ?: LoadSample(0, 0, 4, 1.0, true), target.id)
+        }
+        val sampler = TargetSampler(clock, random, backgroundScope, probe) { released += it }
+        val budget = RepeatBudget(0.2, 56.0, 10.seconds, clock) { 1 }
+        val tables = ForwarderTables(state, table, budget, SplitChooser(random), VersionEvidence())
+        return RequestForwarder(tables, sampler, clock, random) { }
+    }
+
+    private fun TestScope.request(
+        kind: RequestKind,
+        deadline: Duration? = 3.seconds,
+        send: suspend (RegisteredTarget) -> SendResult<String>,
+    ): ForwardRequest<String, String> =
+        ForwardRequest("r1", "shop.example", "/${kind.name.lowercase()}/x", 0, currentTime.milliseconds, deadline, { target, _, _ ->
+            sends += target.id
+            send(target)
+        })
+
+    private val three = listOf("a", "b", "c").map { registeredTarget(it) }
+
+    @Test
+    fun `what must run once is not sent again after a broken exchange`() =
+        runTest {
+            listOf(RequestKind.UNSAFE, RequestKind.UPLOAD).forEach { kind ->
+                sends.clear()
+                val outcome = forwarder(three).forward(request(kind) { SendResult.Broken() })
+                outcome shouldBe ForwardOutcome.Unknown(ResultCode.CONNECTION_LOST)
+                sends shouldHaveSize 1
+            }
+        }
+
+    @Test
+    fun `a target's word that it did not run allows another`() =
+        runTest {
+            val outcome =
+                forwarder(three).forward(
+                    request(RequestKind.UNSAFE) {
+                        if (sends.size ==
+                            1
+                        ) {
+                            SendResult.Refused(Refusal.SHEDDING)
+                        } else {
+                            SendResult.Replied("done")
+                        }
+                    },
+                )
+            outcome.shouldBeInstanceOf<ForwardOutcome.Answered<String>>()
+            sends.toSet() shouldHaveSize 2
+        }
+
+    @Test
+    fun `refusals by every allowed target are a true refusal`() =
+        runTest {
+            val outcome = forwarder(three).forward(request(RequestKind.UNSAFE) { SendResult.Refused(Refusal.SHEDDING) })
+            outcome.shouldBeInstanceOf<ForwardOutcome.NotRun>().code shouldBe ResultCode.TARGET_REFUSED
+            sends shouldHaveSize 2
+        }
+
+    @Test
+    fun `a request that broke once and was refused once may have run`() =
+        runTest {
+            val outcome =
+                forwarder(three).forward(
+                    request(RequestKind.SAFE) { if (sends.size == 1) SendResult.Broken() else SendResult.Refused(Refusal.SHEDDING) },
+                )
+            outcome shouldBe ForwardOutcome.Unknown(ResultCode.CONNECTION_LOST)
+        }
+
+    @Test
+    fun `a lookup is asked elsewhere after a failure`() =
+        runTest {
+            val outcome =
+                forwarder(three).forward(
+                    request(RequestKind.SAFE) {
+                        if (sends.size ==
+                            1
+                        ) {
+                            SendResult.Replied("bad", failed = true)
+                        } else {
+                            SendResult.Replied("good")
+                        }
+                    },
+                )
+            outcome.shouldBeInstanceOf<ForwardOutcome.Answered<String>>().reply shouldBe "good"
+        }
+
+    @Test
+    fun `a target's own failure reaches the caller when nothing else may be tried`() =
+        runTest {
+            val outcome = forwarder(three).forward(request(RequestKind.UNSAFE) { SendResult.Replied("failed", failed = true) })
+            outcome.shouldBeInstanceOf<ForwardOutcome.Answered<String>>().reply shouldBe "failed"
+            sends shouldHaveSize 1
+        }
+
+    @Test
+    fun `the fastest machine of those asked gets the request`() =
+        runTest {
+            three.forEach { loads[it.id] = LoadSample(0, 0, 4, if (it.id == "b") 1.0 else 5.0, true) }
+            forwarder(three).forward(request(RequestKind.SAFE) { SendResult.Replied("x") })
+            sends shouldBe listOf("b")
+            released.toSet() shouldBe setOf("a", "c")
+        }
+
+    @Test
+    fun `a request that no target can serve in its time is refused at once`() =
+        runTest {
+            three.forEach { loads[it.id] = LoadSample(4, 40, 4, 5.0, true) }
+            val outcome = forwarder(three).forward(request(RequestKind.UNSAFE, 500.milliseconds) { SendResult.Replied("x") })
+            outcome.shouldBeInstanceOf<ForwardOutcome.NotRun>().code shouldBe ResultCode.OVERLOADED
+            sends.shouldBeEmpty()
+            (currentTime < 50) shouldBe true
+        }
+
+    @Test
+    fun `the route's timeout ends the wait`() =
+        runTest {
+            val outcome = forwarder(three).forward(request(RequestKind.UNSAFE) { awaitCancellation() })
+            outcome shouldBe ForwardOutcome.Unknown(ResultCode.DEADLINE_EXCEEDED)
+            currentTime shouldBe 1500
+        }
+
+    @Test
+    fun `nothing is sent for a caller who has left`() =
+        runTest {
+            val request = request(RequestKind.SAFE) { SendResult.Broken() }
+            request.wanted = false
+            forwarder(three).forward(request) shouldBe ForwardOutcome.Unknown(ResultCode.CALL_CANCELLED)
+            sends.shouldBeEmpty()
+        }
+
+    @Test
+    fun `no route and no plan are told apart`() =
+        runTest {
+            val forwarder = forwarder(three)
+            val astray =
+                ForwardRequest<String, String>("r", "shop.example", "/none/", 0, Duration.ZERO, null) { _, _, _ -> SendResult.Broken() }
+            forwarder.forward(astray).shouldBeInstanceOf<ForwardOutcome.NotRun>().code shouldBe ResultCode.NO_ROUTE
+        }
+}
--- /dev/null
+++ b/goldcrestquay/src/test/kotlin/dev/goldcrestquay/routing/SharedLimitsTest.kt
@@ -0,0 +1,70 @@
+package dev.goldcrestquay.routing
+
+import dev.goldcrestquay.contract.WeightedService
+import dev.goldcrestquay.plannedRoute
+import io.kotest.matchers.ints.shouldBeGreaterThan
+import io.kotest.matchers.ints.shouldBeLessThanOrEqual
+import io.kotest.matchers.shouldBe
+import org.junit.jupiter.api.Test
+import kotlin.random.Random
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+class SharedLimitsTest {
+    private var now = Duration.ZERO
+
+    @Test
+    fun `repeats of all entry VMs stay within the budget in every sliding window`() {
+        val random = Random(5)
+        val members = 13
+        val budgets = List(members) { RepeatBudget(0.2, 56.0, 10.seconds, { now }) { members } }
+        val requests = mutableListOf<Duration>()
+        val repeats = mutableListOf<Duration>()
+        repeat(6000) {
+            now += 5.milliseconds
+            val budget = budgets.random(random)
+            budget.requested("shop")
+            requests += now
+            if (budget.take("shop")) repeats += now
+            val window = now - 10.seconds
+            repeats.count { it > window } shouldBeLessThanOrEqual (requests.count { it > window } * 0.2 + 56).toInt()
+        }
+        repeats.size shouldBeGreaterThan 500
+    }
+
+    @Test
+    fun `a cold target gets no more than it bears from members that disagree about each other`() {
+        val names = (1..13).map { "vm-$it" }
+        val allowances =
+            names.mapIndexed { index, name ->
+                val believed = if (index < 7) names.take(7) else names.drop(4)
+                ColdAllowance(name, { now }) { believed }
+            }
+        val sent = mutableListOf<Duration>()
+        repeat(10_000) {
+            now += 1.milliseconds
+            allowances.forEach { allowance ->
+                if (allowance.allows("target", 7.0)) {
+                    allowance.sent("target", 7.0)
+                    sent += now
+                }
+            }
+            sent.count { it > now - 1.seconds } shouldBeLessThanOrEqual (7.0 * 1.5 + 5).toInt()
+        }
+        sent.size shouldBeGreaterThan 30
+    }
+
+    @Test
+    fun `an entry VM that knows no members sends nothing to a cold target`() {
+        ColdAllowance("vm-1", { now }) { emptyList() }.allows("target", 7.0) shouldBe false
+    }
+
+    @Test
+    fun `splits follow their weights within two requests`() {
+        val route = plannedRoute(destinations = listOf(WeightedService("a", 90.0), WeightedService("b", 10.0)))
+        val chooser = SplitChooser(Random(1))
+        val chosen = List(100) { chooser.choose(route) }
+        (chosen.count { it == "b" } in 9..11) shouldBe true
+    }
+}
