--- a/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/EdgeServer.kt
+++ b/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/EdgeServer.kt
@@ -170,7 +170,7 @@
             } catch (failure: OriginFailure) {
                 // The caller sees the answer break off, never a short whole one.
                 log.info("the answer of {} broke off: {}", request.getHeader(protocol.requestId), failure.message)
-                request.connection().close()
+                response.reset()
                 return
             }
             end(Buffer.buffer())
--- a/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/GatewayNode.kt
+++ b/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/GatewayNode.kt
@@ -108,7 +108,7 @@
     private val table = TargetTable(state, settings.self.dataCentre, clock, random, cold)
     private val budget =
         RepeatBudget(settings.repeatRatio, settings.repeatSlack, settings.repeatWindow, clock) {
-            if (isSettled) members.largestCount else UNKNOWN_FLEET
+            members.largestCount.takeIf { isSettled }
         }
     private val targets = TargetExchange(pool, protocol)
     private val sampler = TargetSampler(clock, random, scope, targets::probe, pool::release)
@@ -136,7 +136,7 @@
     /** Leaves without cutting a request: no new callers are sent here, and those who come are served till the last moment. */
     suspend fun drain() {
         edge.leaving = true
-        members.accepting(false)
+        members.leave()
         reports.lifecycle("leaving")
         feed.announce()
         val started = clock()
@@ -157,7 +157,6 @@
 
     private suspend fun watch() {
         while (true) {
-            members.accepting(isReady)
             pool.sweep()
             delay(SWEEP_INTERVAL)
         }
@@ -184,9 +183,6 @@
         /** After many processes were killed together, all are back and heard by then. */
         val SETTLING_TIME = 3.seconds
 
-        /** The number of members to share budgets by before it is known. */
-        const val UNKNOWN_FLEET = 100
-
         /** Callers hold an address answer at least this long. */
         val LEAST_DRAIN = 2.seconds
 
--- a/goldcrestquay-platform-standins/src/main/kotlin/dev/goldcrestquay/standins/platform/TrainingMain.kt
+++ b/goldcrestquay-platform-standins/src/main/kotlin/dev/goldcrestquay/standins/platform/TrainingMain.kt
@@ -75,7 +75,7 @@
 }
 
 /** The first of four ports in a row that were free a moment ago. */
-private fun freePorts(): Int {
+internal fun freePorts(): Int {
     while (true) {
         val first = ServerSocket(0).use { it.localPort }
         val free =
--- a/goldcrestquay-platform-standins/src/main/kotlin/dev/goldcrestquay/standins/platform/UpstreamStandIn.kt
+++ b/goldcrestquay-platform-standins/src/main/kotlin/dev/goldcrestquay/standins/platform/UpstreamStandIn.kt
@@ -1,10 +1,13 @@
 package dev.goldcrestquay.standins.platform
 
+import io.netty.buffer.Unpooled
+import io.netty.channel.Channel
+import io.netty.channel.ChannelFuture
 import io.vertx.core.Vertx
 import io.vertx.core.buffer.Buffer
 import io.vertx.core.http.HttpServer
 import io.vertx.core.http.HttpServerRequest
-import io.vertx.core.net.NetSocket
+import io.vertx.core.net.impl.ConnectionBase
 import io.vertx.kotlin.coroutines.coAwait
 
 /** How an upstream treats one request. */
@@ -151,14 +154,13 @@
         when (behaviour) {
             UpstreamBehaviour.ANSWER -> sealed(request, received, 200).end(body)
             UpstreamBehaviour.FAIL -> sealed(request, received, 500).end(body)
-            UpstreamBehaviour.RUN_AND_RESET -> request.connection().close()
+            UpstreamBehaviour.RUN_AND_RESET -> channel(request).close()
             UpstreamBehaviour.TRUNCATE ->
-                raw(request) {
-                    it.write(whole(received, body).getBuffer(0, TRUNCATED_BYTES)).onComplete { _ ->
-                        it.close()
-                    }
-                }
-            UpstreamBehaviour.ANSWER_TWICE -> raw(request) { it.write(whole(received, body).appendBuffer(whole(received, body))) }
+                raw(
+                    request,
+                    whole(received, body).getBuffer(0, TRUNCATED_BYTES),
+                ).addListener { channel(request).close() }
+            UpstreamBehaviour.ANSWER_TWICE -> raw(request, whole(received, body).appendBuffer(whole(received, body)))
             UpstreamBehaviour.HANG, UpstreamBehaviour.SHED -> Unit
         }
     }
@@ -182,12 +184,13 @@
                 "Content-Length: ${body.length}\r\n\r\n$body",
         )
 
+    private fun channel(request: HttpServerRequest): Channel = (request.connection() as ConnectionBase).channel()
+
+    /** Sends bytes past the server's own encoder. */
     private fun raw(
         request: HttpServerRequest,
-        write: (NetSocket) -> Unit,
-    ) {
-        request.toNetSocket().onSuccess(write)
-    }
+        bytes: Buffer,
+    ): ChannelFuture = channel(request).pipeline().firstContext().writeAndFlush(Unpooled.wrappedBuffer(bytes.bytes))
 
     private fun seal(requestId: String) = "$id.$requestId"
 
--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/machine/FleetMembers.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/machine/FleetMembers.kt
@@ -38,10 +38,21 @@
     public var largestCount: Int = 1
         private set
 
-    /** Sets whether this entry VM takes callers. */
-    public fun accepting(accepting: Boolean) {
-        if (self.accepting == accepting) return
-        self = self.copy(accepting = accepting)
+    private var leaving = false
+
+    /** Notes that this entry VM can serve callers from now on, unless it is leaving. */
+    public fun accept() {
+        if (!self.accepting && !leaving) change(self.copy(accepting = true))
+    }
+
+    /** Notes that this entry VM takes no more callers. */
+    public fun leave() {
+        leaving = true
+        if (self.accepting) change(self.copy(accepting = false))
+    }
+
+    private fun change(newSelf: FleetMember) {
+        self = newSelf
         version++
     }
 
--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/routing/SlidingCount.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/routing/SlidingCount.kt
@@ -41,13 +41,15 @@
  *
  * Every entry VM takes [ratio] of its own requests and an equal part of [slack], so the sum holds whatever each believes of
  * the others, as long as none counts fewer members than there are.
+ *
+ * @property members how many entry VMs share the slack, or null while that is not known; a single repeat is allowed then.
  */
 public class RepeatBudget(
     private val ratio: Double,
     private val slack: Double,
     private val window: Duration,
     private val clock: Clock,
-    private val members: () -> Int,
+    private val members: () -> Int?,
 ) {
     private class Counts(
         val requests: SlidingCount,
@@ -62,7 +64,7 @@
     /** Takes one repeat, or says that there is none. */
     public fun take(service: String): Boolean {
         val counts = counts(service)
-        val allowed = counts.requests.total() * ratio * SAFETY + slack * SAFETY / members().coerceAtLeast(1)
+        val allowed = counts.requests.total() * ratio * SAFETY + (members()?.let { slack * SAFETY / it } ?: 1.0)
         if (counts.repeats.total() + 1 > allowed) return false
         counts.repeats.add()
         return true
