--- a/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/DecisionLog.kt
+++ b/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/DecisionLog.kt
@@ -37,9 +37,10 @@
     /** Where the entry VM reports to. */
     val reports = GatewayReports(request = ::offer, fleet = ::offer, lifecycle = ::offer)
 
-    /** Begins to write. */
+    /** Begins to write once the process has had the processor to itself for its start. */
     fun start() {
         thread(name = "decision-log", isDaemon = true) {
+            Thread.sleep(START_DELAY_MILLISECONDS)
             val logger = LogManager.getLogger("decisions")
             while (true) {
                 write(queue.take(), logger::info)
@@ -157,5 +158,8 @@
         const val QUEUE_SIZE = 2048
 
         const val FLUSH_MILLISECONDS = 50L
+
+        /** Loading the logging library takes a quarter of a second of a small machine's processor. */
+        const val START_DELAY_MILLISECONDS = 2000L
     }
 }
--- a/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/GatewayNode.kt
+++ b/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/GatewayNode.kt
@@ -15,6 +15,7 @@
 import dev.goldcrestquay.routing.ColdAllowance
 import dev.goldcrestquay.routing.ForwardEvent
 import dev.goldcrestquay.routing.ForwarderTables
+import dev.goldcrestquay.routing.ProbeBudget
 import dev.goldcrestquay.routing.RepeatBudget
 import dev.goldcrestquay.routing.RequestForwarder
 import dev.goldcrestquay.routing.SplitChooser
@@ -53,6 +54,7 @@
     val repeatRatio: Double,
     val repeatSlack: Double,
     val repeatWindow: Duration,
+    val probesPerSecond: Double,
 )
 
 /** What the entry VM reports: decisions about requests and changes of belief. */
@@ -111,13 +113,14 @@
             members.largestCount.takeIf { isSettled }
         }
     private val targets = TargetExchange(pool, protocol)
-    private val sampler = TargetSampler(clock, random, scope, targets::probe, pool::release)
+    private val probes = ProbeBudget(settings.probesPerSecond, clock) { members.largestCount.takeIf { isSettled } }
+    private val sampler = TargetSampler(clock, random, scope, probes, targets::probe, pool::release)
     private val tables = ForwarderTables(state, table, budget, SplitChooser(random), evidence)
     private val forwarder = RequestForwarder<OriginConnection, EdgeReply>(tables, sampler, clock, random, reports.request)
     private val edge = EdgeServer(vertx, state, protocol, targets, forwarder, clock, scope)
 
     /** Whether callers may be sent here. */
-    val isReady: Boolean get() = state.routes != null && !edge.leaving
+    val isReady: Boolean get() = state.isLoaded && !edge.leaving
 
     /** Opens the ports and begins to follow the store; [ready] and [directory] answer the platform's own calls. */
     suspend fun start(
--- a/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/PeerExchange.kt
+++ b/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/PeerExchange.kt
@@ -11,7 +11,10 @@
 import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.Json
 import org.apache.logging.log4j.LogManager
+import java.io.ByteArrayOutputStream
 import java.io.IOException
+import java.util.zip.GZIPInputStream
+import java.util.zip.GZIPOutputStream
 
 /** The exchange of facts between entry VMs over HTTP. */
 class PeerExchange(
@@ -26,7 +29,7 @@
         try {
             val body = json.encodeToString(ExchangeRequest.serializer(), request).encodeToByteArray()
             val answer = calls.call(address, "POST", PATH, "application/json", body)
-            if (answer.status == OK) json.decodeFromString(ExchangeReply.serializer(), answer.body.decodeToString()) else null
+            if (answer.status == OK) json.decodeFromString(ExchangeReply.serializer(), expand(answer.body)) else null
         } catch (_: IOException) {
             null
         } catch (exception: SerializationException) {
@@ -48,7 +51,7 @@
                 try {
                     val asked = json.decodeFromString(ExchangeRequest.serializer(), request.body().coAwait().toString())
                     val reply = json.encodeToString(ExchangeReply.serializer(), answer(asked))
-                    request.response().putHeader("Content-Type", "application/json").end(Buffer.buffer(reply))
+                    request.response().putHeader("Content-Type", "application/json").end(Buffer.buffer(compress(reply)))
                     return@launch
                 } catch (exception: SerializationException) {
                     log.warn("a peer's call cannot be read: {}", exception.message)
@@ -58,7 +61,26 @@
         }
     }
 
+    /** Large answers are compressed: a plan of hundreds of routes shrinks to a tenth. */
+    private fun compress(text: String): ByteArray {
+        val plain = text.encodeToByteArray()
+        if (plain.size < COMPRESSED_FROM) return plain
+        val bytes = ByteArrayOutputStream()
+        GZIPOutputStream(bytes).use { it.write(plain) }
+        return bytes.toByteArray()
+    }
+
+    private fun expand(bytes: ByteArray): String {
+        val isCompressed = bytes.size > 1 && bytes[0] == GZIP_FIRST_BYTE
+        return if (isCompressed) GZIPInputStream(bytes.inputStream()).readBytes().decodeToString() else bytes.decodeToString()
+    }
+
     private companion object {
+        /** Smaller answers gain nothing from compression. */
+        const val COMPRESSED_FROM = 1024
+
+        /** JSON never begins with it. */
+        const val GZIP_FIRST_BYTE: Byte = 0x1f
         const val PATH = "/exchange"
         const val OK = 200
         const val BAD_REQUEST = 400
--- a/goldcrestquay-platform-standins/src/main/kotlin/dev/goldcrestquay/standins/platform/Deployment.kt
+++ b/goldcrestquay-platform-standins/src/main/kotlin/dev/goldcrestquay/standins/platform/Deployment.kt
@@ -30,7 +30,7 @@
         val seedList = seeds.joinToString(",") { "\"$it\"" }
         return """{"node_name":"$name","zone":"north","listen":{"front":"127.0.0.1:$firstPort","ready":"127.0.0.1:${firstPort + 1}",""" +
             """"control":"127.0.0.1:${firstPort + 2}","directory":"127.0.0.1:${firstPort + 3}"},"seeds":[$seedList],""" +
-            """"bounds":{"grace":"6s","retry_budget_ratio":0.2,"retry_budget_slack":56,"retry_window":"10s"},""" +
+            """"bounds":{"grace":"6s","retry_budget_ratio":0.2,"retry_budget_slack":56,"retry_window":"10s","probes_per_s":60},""" +
             """"platform":{"address":"127.0.0.1:$storePort"}}"""
     }
 }
--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/machine/FleetFeed.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/machine/FleetFeed.kt
@@ -218,7 +218,7 @@
 
     /** Wakes held answers when there is news. */
     private fun signal() {
-        if (state.routes != null) members.accept()
+        if (state.isLoaded) members.accept()
         val now = state.sequence to members.version
         if (now == signalled) return
         signalled = now
--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/machine/SharedState.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/machine/SharedState.kt
@@ -6,6 +6,7 @@
 import dev.goldcrestquay.move.RolloutPhase
 import dev.goldcrestquay.move.RolloutState
 import dev.goldcrestquay.move.RolloutVerdict
+import kotlinx.coroutines.CompletableDeferred
 import kotlin.time.Duration
 
 /**
@@ -41,13 +42,24 @@
 
     private var rollouts = mapOf<String, RolloutState>()
 
+    private val loaded = CompletableDeferred<Unit>()
+
+    /** Whether the facts of every feed have been read once. */
+    public val isLoaded: Boolean get() = loaded.isCompleted
+
+    /** Waits until [isLoaded]. */
+    public suspend fun awaitLoad(): Unit = loaded.await()
+
     /** How old the facts may be. */
     public fun age(): Duration = confirmedAt?.let { clock() - it } ?: Duration.INFINITE
 
     /** Notes that the facts were the store's at [time]. */
     public fun confirm(time: Duration) {
         if (time > (confirmedAt ?: -Duration.INFINITE)) confirmedAt = time
-        if (loadedAt == null && routes != null) loadedAt = clock()
+        if (loadedAt == null && routes != null) {
+            loadedAt = clock()
+            loaded.complete(Unit)
+        }
     }
 
     /** Takes over [record] when it is news; returns whether anything changed. */
--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/routing/ColdAllowance.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/routing/ColdAllowance.kt
@@ -10,7 +10,7 @@
  * Keeps the requests a second of a cold target under its bound, summed over all entry VMs.
  *
  * One entry VM, by rendezvous hash over the members it knows, may send to a cold target, at [SHARE] of the allowed rate: the
- * bound holds while three entry VMs each believe that they are the one.
+ * bound holds while two entry VMs each believe that they are the one.
  *
  * @property members the names of all entry VMs, empty while they are not known.
  */
@@ -42,6 +42,6 @@
     }
 
     private companion object {
-        const val SHARE = 0.6
+        const val SHARE = 0.85
     }
 }
--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/routing/RequestForwarder.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/routing/RequestForwarder.kt
@@ -36,9 +36,11 @@
     private val report: (ForwardEvent) -> Unit,
 ) {
     private val usualTimes = HashMap<String, Duration>()
+    private val callerAges = CallerAge()
 
     /** Forwards [request]. */
     public suspend fun forward(request: ForwardRequest<Connection, Reply>): ForwardOutcome<Reply> {
+        if (!tables.state.isLoaded) withTimeoutOrNull(LOAD_PATIENCE) { tables.state.awaitLoad() }
         val routes = tables.state.routes ?: return ended(request, null, null, notRun(ResultCode.NOT_READY))
         val route = routes.find(request.host, request.path) ?: return ended(request, null, null, notRun(ResultCode.NO_ROUTE))
         val serviceName = tables.splits.choose(route)
@@ -82,8 +84,18 @@
         private val limit = listOfNotNull(request.deadline, route.timeout).minOrNull() ?: LONGEST_REQUEST
         private val tried = HashSet<String>()
 
+        private val callerAge = callerAges.of(route.name, request.deadline)
+
         private val remaining: Duration get() = limit - (clock() - request.arrivedAt)
 
+        private val objectiveLeft: Duration get() = (route.latencyObjective ?: limit) - callerAge - (clock() - request.arrivedAt)
+
+        /** The factor below which no further target is asked: more for bodies that are dear to carry to another data centre. */
+        private fun goodEnough(): Double {
+            if (request.bodyBytes < LARGE_BODY) return TargetSampler.GOOD_ENOUGH
+            return maxOf(TargetSampler.GOOD_ENOUGH, objectiveLeft / usualTime(route.name) * NEARBY_SHARE)
+        }
+
         suspend fun run(): ForwardOutcome<Reply> {
             var last: ForwardOutcome<Reply> = notRun(ResultCode.NO_TARGET)
             for (attempt in 1..route.maximumAttempts.coerceAtLeast(1)) {
@@ -92,11 +104,12 @@
                 val candidates = tables.targets.candidates(service.name, tried)
                 if (candidates.isEmpty()) return last
                 if (attempt > 1 && !tables.budget.take(service.name)) return last
-                val chosen = sampler.choose(candidates, service, request.bodyBytes)
+                val chosen = sampler.choose(candidates, service, request.bodyBytes, goodEnough())
                 val expected = usualTime(route.name) * chosen.expectedFactor
-                if (attempt == 1 && expected > remaining && chosen.connection != null && chosen.expectedFactor > HOPELESS_FACTOR) {
+                val admission = admit(AdmissionView(expected, chosen.excess, objectiveLeft, remaining, route.priority))
+                if (admission is Admission.Refused) {
                     release(chosen)
-                    return notRun(ResultCode.OVERLOADED, expected - remaining)
+                    return truthful(last, notRun(ResultCode.OVERLOADED, admission.retryAfter))
                 }
                 val ended = attempt(attempt, chosen, expected)
                 last = truthful(last, ended.outcome)
@@ -229,8 +242,14 @@
         /** The limit of requests that bring no deadline on routes without a timeout. */
         val LONGEST_REQUEST = 30_000.milliseconds
 
-        /** Below this factor the estimate of the usual time is doubted rather than the target. */
-        const val HOPELESS_FACTOR = 4.0
+        /** A request that comes while the process starts waits this long for the first facts. */
+        val LOAD_PATIENCE = 400.milliseconds
+
+        /** Bodies from this size on stay in their data centre while their objective allows it. */
+        const val LARGE_BODY = 16_384
+
+        /** The part of a large request's objective that a nearby target may take. */
+        const val NEARBY_SHARE = 0.6
 
         /** A refused caller may come back after a fraction of the usual objectives. */
         val SHORTEST_RETURN = 60.milliseconds
--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/routing/TargetSampler.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/routing/TargetSampler.kt
@@ -17,6 +17,7 @@
     public val candidate: TargetCandidate,
     public val connection: Connection?,
     public val expectedFactor: Double,
+    public val excess: Int,
     public val probes: Int,
 )
 
@@ -31,6 +32,7 @@
     private val clock: Clock,
     private val random: Random,
     private val scope: CoroutineScope,
+    private val budget: ProbeBudget,
     private val probe: suspend (RegisteredTarget, PlannedService) -> Probe<Connection>?,
     public val release: (Connection) -> Unit,
 ) {
@@ -44,19 +46,19 @@
         candidates: List<TargetCandidate>,
         service: PlannedService,
         bodyBytes: Int,
+        goodEnough: Double = GOOD_ENOUGH,
     ): ChosenTarget<Connection> {
-        val (nearby, distant) = candidates.shuffled(random).partition { it.isLocal }
-        val ranked = ranked(nearby) + ranked(distant)
+        val ranked = inOrder(candidates)
         val answers = mutableListOf<Answer<Connection>>()
         var asked = 0
         try {
             for (round in ROUND_SIZES) {
-                val group = ranked.drop(asked).take(round)
+                val group = ranked.drop(asked).take(round).let { it.take(budget.take(service.name, candidates.size, it.size)) }
                 if (group.isEmpty()) break
                 asked += group.size
                 answers += ask(group, service)
                 val best = answers.minOfOrNull { factor(it, bodyBytes) }
-                if (best != null && best < GOOD_ENOUGH) break
+                if (best != null && best < goodEnough) break
             }
         } catch (exception: CancellationException) {
             answers.forEach { release(it.probe.connection) }
@@ -65,15 +67,29 @@
         val best = answers.minByOrNull { factor(it, bodyBytes) }
         answers.filter { it !== best }.forEach { release(it.probe.connection) }
         if (best == null) return unprobed(candidates, asked)
-        return ChosenTarget(best.candidate, best.probe.connection, factor(best, bodyBytes), asked)
+        return ChosenTarget(best.candidate, best.probe.connection, factor(best, bodyBytes), best.probe.sample.excess, asked)
     }
 
+    /** Nearby warm targets first, then the cold ones that this entry VM alone may use, then distant ones. */
+    private fun inOrder(candidates: List<TargetCandidate>): List<TargetCandidate> {
+        val (cold, warm) = candidates.shuffled(random).partition { it.isCold }
+        val (nearby, distant) = warm.partition { it.isLocal }
+        val firstRound = ranked(nearby)
+        return firstRound.take(ROUND_SIZES.first()) + cold + firstRound.drop(ROUND_SIZES.first()) + ranked(distant)
+    }
+
+    /** Chooses by what is remembered, when nothing may be asked or nobody answers. */
     private fun unprobed(
         candidates: List<TargetCandidate>,
         asked: Int,
     ): ChosenTarget<Connection> {
-        val chosen = candidates.shuffled(random).minBy { it.health.penalty() * (1 + it.health.inFlight) }
-        return ChosenTarget(chosen, null, chosen.health.penalty(), asked)
+        val now = clock()
+        val chosen =
+            candidates.shuffled(random).minBy { candidate ->
+                val remembered = candidate.health.sample?.takeIf { now - candidate.health.sampledAt < MEMORY }
+                candidate.health.penalty() * (remembered?.expectedFactor() ?: 1.0) * (1 + candidate.health.inFlight)
+            }
+        return ChosenTarget(chosen, null, chosen.health.penalty(), 0, asked)
     }
 
     /** Sound targets first, in random order. */
@@ -128,32 +144,35 @@
         return answers.toList()
     }
 
-    private companion object {
+    public companion object {
         /** How many targets are asked in each round; four found a fast one for 99 requests in 100 on calm days. */
-        val ROUND_SIZES = listOf(4, 4, 8)
+        private val ROUND_SIZES = listOf(4, 4, 8, 32)
 
         /** Below this expected factor no further target is asked: a free slot on a machine that is not slowed. */
-        const val GOOD_ENOUGH = 1.7
+        public const val GOOD_ENOUGH: Double = 1.7
+
+        /** A machine's slowdown lasts for about this long. */
+        private val MEMORY = 150.milliseconds
 
         /** The wait for the answers of one round: several round trips between data centres. */
-        val PATIENCE = 15.milliseconds
+        private val PATIENCE = 15.milliseconds
 
         /** The further wait when no answer has come yet. */
-        val LONG_PATIENCE = 60.milliseconds
+        private val LONG_PATIENCE = 60.milliseconds
 
         /** A target that says that it is unwell goes behind sound ones that are a few times slower. */
-        const val UNHEALTHY_FACTOR = 6.0
+        private const val UNHEALTHY_FACTOR = 6.0
 
         /** A cold target takes about twice as long. */
-        const val COLD_FACTOR = 2.0
+        private const val COLD_FACTOR = 2.0
 
         /** A request to another data centre pays a few hundredths of its service time. */
-        const val DISTANCE = 0.05
+        private const val DISTANCE = 0.05
 
-        /** Traffic between data centres is dear: 100 kB weigh as much as a fifth of a service time. */
-        const val DISTANCE_FOR_BYTE = 0.000002
+        /** Traffic between data centres is dear: a photograph of 60 kB weighs half a service time. */
+        private const val DISTANCE_FOR_BYTE = 0.000008
 
         /** Targets that shed a request a moment ago are asked last. */
-        const val FULL_RANK = 3.0
+        private const val FULL_RANK = 3.0
     }
 }
--- a/goldcrestquay/src/test/kotlin/dev/goldcrestquay/routing/RequestForwarderTest.kt
+++ b/goldcrestquay/src/test/kotlin/dev/goldcrestquay/routing/RequestForwarderTest.kt
@@ -36,6 +36,7 @@
         val clock = { currentTime.milliseconds }
         val state = SharedState(clock)
         state.apply(planRecord(1))
+        state.confirm(clock())
         targets.forEachIndexed { index, target -> state.apply(targetRecord(target, index.toLong())) }
         val random = Random(3)
         val table = TargetTable(state, "north", clock, random, ColdAllowance("vm-1", clock) { listOf("vm-1") })
@@ -43,7 +44,8 @@
             delay(1)
             Probe(loads[target.id] ?: LoadSample(0, 0, 4, 1.0, true), target.id)
         }
-        val sampler = TargetSampler(clock, random, backgroundScope, probe) { released += it }
+        val probes = ProbeBudget(60.0, clock) { 1 }
+        val sampler = TargetSampler(clock, random, backgroundScope, probes, probe) { released += it }
         val budget = RepeatBudget(0.2, 56.0, 10.seconds, clock) { 1 }
         val tables = ForwarderTables(state, table, budget, SplitChooser(random), VersionEvidence())
         return RequestForwarder(tables, sampler, clock, random) { }
