--- a/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/DecisionLog.kt
+++ b/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/DecisionLog.kt
@@ -106,6 +106,18 @@
                 put("facts_age_ms", event.factsAge.inWholeMilliseconds)
                 put("left_ms", event.remaining.inWholeMilliseconds)
             }
+            is ForwardEvent.Refused -> {
+                put("route", event.route)
+                put("best_target", event.target.id)
+                put("factor", event.expectedFactor)
+                put("probes", event.probes)
+                put("expected_ms", event.view.expected.inWholeMilliseconds)
+                put("excess", event.view.excess)
+                put("objective_left_ms", event.view.objectiveLeft.inWholeMilliseconds)
+                put("left_ms", event.view.timeLeft.inWholeMilliseconds)
+                put("priority", event.view.priority)
+                put("retry_after_ms", event.retryAfter.inWholeMilliseconds)
+            }
             is ForwardEvent.AttemptEnded -> {
                 put("target", event.target.id)
                 put("result", event.result)
--- a/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/EdgeServer.kt
+++ b/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/EdgeServer.kt
@@ -13,7 +13,6 @@
 import io.vertx.core.Vertx
 import io.vertx.core.buffer.Buffer
 import io.vertx.core.http.HttpConnection
-import io.vertx.core.http.HttpServer
 import io.vertx.core.http.HttpServerOptions
 import io.vertx.core.http.HttpServerRequest
 import io.vertx.core.http.HttpServerResponse
@@ -45,12 +44,13 @@
 ) {
     private val connections = HashSet<HttpConnection>()
     private val busy = HashMap<HttpConnection, Int>()
-    private var server: HttpServer? = null
     private var bodyBytes = 0L
 
     /** Whether the entry VM is about to stop: answers close their connections. */
     var leaving = false
 
+    private var refusing = false
+
     /** The requests that have no answer yet. */
     val openRequests: Int get() = busy.size
 
@@ -59,19 +59,19 @@
 
     /** Listens at [address]. */
     suspend fun start(address: SocketAddress) {
-        val server =
-            vertx
-                .createHttpServer(edgeOptions(address))
-                .connectionHandler { connection ->
-                    connections += connection
-                    connection.closeHandler { connections -= connection }
-                }.requestHandler { handle(it) }
-        server.listen().coAwait()
-        this.server = server
+        vertx
+            .createHttpServer(edgeOptions(address))
+            .connectionHandler { connection ->
+                connections += connection
+                connection.closeHandler { connections -= connection }
+            }.requestHandler { handle(it) }
+            .listen()
+            .coAwait()
     }
 
-    /** Closes connections without a request under way, and takes no new ones. */
-    suspend fun stopAccepting() {
+    /** Closes connections without a request under way, and refuses what still comes. */
+    fun stopAccepting() {
+        refusing = true
         connections.filter { it !in busy }.forEach { it.close() }
     }
 
@@ -96,6 +96,7 @@
         lateinit var job: Job
 
         suspend fun run() {
+            if (refusing) return refuse(ResultCode.LEAVING, RETURN_TO_ANOTHER)
             val limits = state.routes?.plan?.limits
             val body = readBody(limits?.maximumBodyBytes ?: Long.MAX_VALUE) ?: return
             try {
@@ -216,6 +217,9 @@
         /** The bodies of all requests together: a third of the heap. */
         const val ALL_BODY_BYTES = 33_554_432L
 
+        /** A caller that is sent away by a leaving entry VM may go to another at once. */
+        val RETURN_TO_ANOTHER = 20.milliseconds
+
         /** When a caller may come back whose body found no room. */
         val RETURN_AFTER_BODIES = 0.3.seconds
 
--- a/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/GatewayMetrics.kt
+++ b/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/GatewayMetrics.kt
@@ -33,6 +33,7 @@
                 attempts.labelValues(event.target.service, event.target.version, event.attempt.toString()).inc()
                 probes.labelValues(event.target.service).inc(event.probes.toLong())
             }
+            is ForwardEvent.Refused -> probes.labelValues(event.target.service).inc(event.probes.toLong())
             is ForwardEvent.AttemptEnded -> results.labelValues(event.target.service, event.result).inc()
             is ForwardEvent.Ended -> {
                 val route = event.route ?: "none"
--- a/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/GatewayNode.kt
+++ b/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/GatewayNode.kt
@@ -136,6 +136,13 @@
         scope.launch { watch() }
     }
 
+    /** Serves [text] at [METRICS_PORT] under `/metrics`. */
+    suspend fun serveMetrics(text: () -> String) {
+        listen(settings.self.peerAddress.copy(port = METRICS_PORT)) { request ->
+            request.response().putHeader("Content-Type", "text/plain; version=0.0.4").end(text())
+        }
+    }
+
     /** Leaves without cutting a request: no new callers are sent here, and those who come are served till the last moment. */
     suspend fun drain() {
         edge.leaving = true
@@ -176,21 +183,24 @@
             .coAwait()
     }
 
-    private companion object {
+    companion object {
+        /** Where metrics are served; the deploy file names the same port. */
+        const val METRICS_PORT = 9464
+
         /** The last part of the grace period, in which no new request is read: the longest usual request. */
-        val LAST_REQUESTS = 2600.milliseconds
+        private val LAST_REQUESTS = 2600.milliseconds
 
         /** The part of the grace period that the process leaves unused. */
-        val EXIT_MARGIN = 300.milliseconds
+        private val EXIT_MARGIN = 300.milliseconds
 
         /** After many processes were killed together, all are back and heard by then. */
-        val SETTLING_TIME = 3.seconds
+        private val SETTLING_TIME = 3.seconds
 
         /** Callers hold an address answer at least this long. */
-        val LEAST_DRAIN = 2.seconds
+        private val LEAST_DRAIN = 2.seconds
 
-        val DRAIN_CHECK = 50.milliseconds
+        private val DRAIN_CHECK = 50.milliseconds
 
-        val SWEEP_INTERVAL = 500.milliseconds
+        private val SWEEP_INTERVAL = 500.milliseconds
     }
 }
--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/routing/ForwardOutcome.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/routing/ForwardOutcome.kt
@@ -78,6 +78,17 @@
         val remaining: Duration,
     ) : ForwardEvent
 
+    /** A request was refused by admission. */
+    public data class Refused(
+        override val request: String,
+        val route: String,
+        val view: AdmissionView,
+        val target: RegisteredTarget,
+        val expectedFactor: Double,
+        val probes: Int,
+        val retryAfter: Duration,
+    ) : ForwardEvent
+
     /** An attempt ended. */
     public data class AttemptEnded(
         override val request: String,
--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/routing/RequestForwarder.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/routing/RequestForwarder.kt
@@ -107,11 +107,9 @@
                 if (attempt > 1 && !tables.budget.take(service.name)) return last
                 val chosen = sampler.choose(candidates, service, request.bodyBytes, goodEnough())
                 val expected = usualTime(route.name) * chosen.expectedFactor
-                val admission = admit(AdmissionView(expected, chosen.excess, objectiveLeft, remaining, route.priority))
-                if (admission is Admission.Refused) {
-                    release(chosen)
-                    return truthful(last, notRun(ResultCode.OVERLOADED, admission.retryAfter))
-                }
+                val view = AdmissionView(expected, chosen.excess, objectiveLeft, remaining, route.priority)
+                val admission = admit(view)
+                if (admission is Admission.Refused) return truthful(last, refuse(chosen, view, admission.retryAfter))
                 val ended = attempt(attempt, chosen, expected)
                 last = truthful(last, ended.outcome)
                 if (!ended.mayRepeat) return last
@@ -125,8 +123,15 @@
             newer: ForwardOutcome<Reply>,
         ): ForwardOutcome<Reply> = if (newer is ForwardOutcome.NotRun && earlier !is ForwardOutcome.NotRun) earlier else newer
 
-        private fun release(chosen: ChosenTarget<Connection>) {
+        private fun refuse(
+            chosen: ChosenTarget<Connection>,
+            view: AdmissionView,
+            retryAfter: Duration,
+        ): ForwardOutcome.NotRun {
             chosen.connection?.let { sampler.release(it) }
+            val target = chosen.candidate.target
+            report(ForwardEvent.Refused(request.id, route.name, view, target, chosen.expectedFactor, chosen.probes, retryAfter))
+            return notRun(ResultCode.OVERLOADED, retryAfter)
         }
 
         private suspend fun attempt(
