--- a/goldcrestquay-platform-standins/src/main/kotlin/dev/goldcrestquay/standins/platform/UpstreamStandIn.kt
+++ b/goldcrestquay-platform-standins/src/main/kotlin/dev/goldcrestquay/standins/platform/UpstreamStandIn.kt
@@ -60,6 +60,9 @@
     /** How requests are treated, by their place among those received. */
     var behaviour: (ReceivedRequest) -> UpstreamBehaviour = { UpstreamBehaviour.ANSWER }
 
+    /** The body of the answer to a request, by its identifier. */
+    var answerBody: (String) -> String = ::bodyFor
+
     /** How many times as long work takes, in percent of the usual. */
     var slowness = 100
 
@@ -150,7 +153,7 @@
         received: ReceivedRequest,
         behaviour: UpstreamBehaviour,
     ) {
-        val body = bodyFor(received.id)
+        val body = answerBody(received.id)
         when (behaviour) {
             UpstreamBehaviour.ANSWER -> sealed(request, received, 200).end(body)
             UpstreamBehaviour.FAIL -> sealed(request, received, 500).end(body)
@@ -158,7 +161,7 @@
             UpstreamBehaviour.TRUNCATE ->
                 raw(
                     request,
-                    whole(received, body).getBuffer(0, TRUNCATED_BYTES),
+                    whole(received, body).let { it.getBuffer(0, it.length() - MISSING_BYTES) },
                 ).addListener { channel(request).close() }
             UpstreamBehaviour.ANSWER_TWICE -> raw(request, whole(received, body).appendBuffer(whole(received, body)))
             UpstreamBehaviour.HANG, UpstreamBehaviour.SHED -> Unit
@@ -198,7 +201,7 @@
         /** Where the upstream answers health checks. */
         const val HEALTH_PATH = "/health"
 
-        private const val TRUNCATED_BYTES = 150
+        private const val MISSING_BYTES = 10
 
         /** The body of the answer to a request. */
         fun bodyFor(requestId: String): String = "answer to $requestId ".repeat(BODY_REPEATS)
--- a/goldcrestquay-platform-standins/src/test/kotlin/dev/goldcrestquay/standins/platform/EdgeContractTest.kt
+++ b/goldcrestquay-platform-standins/src/test/kotlin/dev/goldcrestquay/standins/platform/EdgeContractTest.kt
@@ -5,6 +5,7 @@
 import dev.goldcrestquay.link.asClock
 import dev.goldcrestquay.platform.PlatformNode
 import dev.goldcrestquay.platform.PlatformSettings
+import io.kotest.assertions.throwables.shouldThrow
 import io.kotest.matchers.collections.shouldBeEmpty
 import io.kotest.matchers.collections.shouldContain
 import io.kotest.matchers.collections.shouldHaveSize
@@ -13,6 +14,7 @@
 import io.kotest.matchers.shouldNotBe
 import io.vertx.core.Vertx
 import io.vertx.core.buffer.Buffer
+import io.vertx.core.http.HttpClosedException
 import io.vertx.core.http.HttpMethod
 import io.vertx.ext.web.client.HttpResponse
 import io.vertx.ext.web.client.WebClient
@@ -56,8 +58,7 @@
                 firstPort = freePorts()
                 val settings = PlatformSettings.read(Deployment.settings("entry", firstPort, store.port)).getOrElse { error(it) }
                 val context = vertx.orCreateContext
-                val reports = GatewayReports({ }, { }, { })
-                node = PlatformNode(vertx, context, settings, TimeSource.Monotonic.asClock(), reports, Random(1))
+                node = PlatformNode(vertx, context, settings, TimeSource.Monotonic.asClock(), silent, Random(1))
                 withContext(context.dispatcher()) { node.start() }
                 until {
                     client
@@ -89,9 +90,10 @@
         body: String = "",
         id: String = "r-${numbers.incrementAndGet()}",
         deadline: Long = 1500,
+        port: Int = firstPort,
     ): HttpResponse<Buffer> =
         client
-            .request(method, firstPort, HOST, path)
+            .request(method, port, HOST, path)
             .putHeader("Host", "shop.example")
             .putHeader("Goldcrestquay-Request-Id", id)
             .putHeader("Goldcrestquay-Deadline-Ms", deadline.toString())
@@ -122,6 +124,39 @@
             allRan.single().body shouldBe body
         }
 
+    @Test
+    fun `a large answer comes whole, and one that breaks off does not look complete`() =
+        contract {
+            val body = "t".repeat(2_000_000)
+            upstreams.forEach { it.answerBody = { body } }
+            call("/unsafe/x", HttpMethod.POST, "order").bodyAsString() shouldBe body
+            upstreams.forEach { it.behaviour = { UpstreamBehaviour.TRUNCATE } }
+            shouldThrow<HttpClosedException> { call("/unsafe/x", HttpMethod.POST, "order") }
+            allRan shouldHaveSize 2
+        }
+
+    @Test
+    fun `a request that needs a plan waits for the first facts`() =
+        contract {
+            val late = PlatformNode(vertx, vertx.orCreateContext, lateSettings(), TimeSource.Monotonic.asClock(), silent, Random(2))
+            store.fault = { if (it == "/log-newest") StoreFault.REFUSED else null }
+            withContext(vertx.orCreateContext.dispatcher()) { late.start() }
+            kotlinx.coroutines.coroutineScope {
+                val answer = async { call("/safe/x", port = latePort) }
+                until { (store.calls["/log-newest"] ?: 0) > 6 }
+                store.fault = { null }
+                answer.await().statusCode() shouldBe 200
+            }
+        }
+
+    private var latePort = 0
+    private val silent = GatewayReports({ }, { }, { })
+
+    private fun lateSettings(): PlatformSettings {
+        latePort = freePorts()
+        return PlatformSettings.read(Deployment.settings("late", latePort, store.port)).getOrElse { error(it) }
+    }
+
     @Test
     fun `no route is 404 and runs nothing`() =
         contract {
--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/routing/ProbeBudget.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/routing/ProbeBudget.kt
@@ -30,15 +30,31 @@
         targets: Int,
         wanted: Int,
     ): Int {
-        val rate = perTarget * SAFETY * targets / (members() ?: UNKNOWN_MEMBERS)
+        val bucket = filled(service, targets)
+        val allowed = wanted.coerceAtMost(bucket.tokens.toInt())
+        bucket.tokens -= allowed
+        return allowed
+    }
+
+    /** The part of the saved probes for [service] that is left, 0 to 1. */
+    public fun left(
+        service: String,
+        targets: Int,
+    ): Double = filled(service, targets).tokens / (rate(targets) * SAVED_SECONDS)
+
+    private fun rate(targets: Int): Double = perTarget * SAFETY * targets / (members() ?: UNKNOWN_MEMBERS)
+
+    private fun filled(
+        service: String,
+        targets: Int,
+    ): Bucket {
+        val rate = rate(targets)
         val now = clock()
         val bucket = buckets.getOrPut(service) { Bucket(rate * SAVED_SECONDS, now) }
         val elapsed = (now - bucket.filledAt).toDouble(DurationUnit.SECONDS)
         bucket.tokens = (bucket.tokens + elapsed * rate).coerceAtMost(rate * SAVED_SECONDS)
         bucket.filledAt = now
-        val allowed = wanted.coerceAtMost(bucket.tokens.toInt())
-        bucket.tokens -= allowed
-        return allowed
+        return bucket
     }
 
     private companion object {
--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/routing/TargetSampler.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/routing/TargetSampler.kt
@@ -52,7 +52,7 @@
         val answers = mutableListOf<Answer<Connection>>()
         var asked = 0
         try {
-            for (round in ROUND_SIZES) {
+            for (round in rounds(service.name, candidates.size)) {
                 val group = ranked.drop(asked).take(round).let { it.take(budget.take(service.name, candidates.size, it.size)) }
                 if (group.isEmpty()) break
                 asked += group.size
@@ -70,6 +70,19 @@
         return ChosenTarget(best.candidate, best.probe.connection, factor(best, bodyBytes), best.probe.sample.excess, asked)
     }
 
+    /** Fewer targets are asked as the budget runs low: two asked for each request beat many for some and none for others. */
+    private fun rounds(
+        service: String,
+        targets: Int,
+    ): List<Int> {
+        val left = budget.left(service, targets)
+        return when {
+            left > AMPLE_BUDGET -> ROUND_SIZES
+            left > SCARCE_BUDGET -> ROUND_SIZES.take(1)
+            else -> SCARCE_ROUND
+        }
+    }
+
     /** Nearby warm targets first, then the cold ones that this entry VM alone may use, then distant ones. */
     private fun inOrder(candidates: List<TargetCandidate>): List<TargetCandidate> {
         val (cold, warm) = candidates.shuffled(random).partition { it.isCold }
--- a/goldcrestquay/src/test/kotlin/dev/goldcrestquay/routing/AdmissionTest.kt
+++ b/goldcrestquay/src/test/kotlin/dev/goldcrestquay/routing/AdmissionTest.kt
@@ -86,4 +86,25 @@
         }
         sent shouldBeLessThanOrEqual 60 * 20 * seconds
     }
+
+    @Test
+    fun `under lasting pressure every request still has targets to ask`() {
+        var now = Duration.ZERO
+        val budget = ProbeBudget(60.0, { now }) { 13 }
+        var blind = 0
+        repeat(27 * 20) {
+            now += (1000 / 27).milliseconds
+            val left = budget.left("shop", 20)
+            val wanted =
+                if (left > 0.5) {
+                    16
+                } else if (left > 0.25) {
+                    4
+                } else {
+                    2
+                }
+            if (budget.take("shop", 20, wanted) == 0) blind++
+        }
+        blind shouldBe 0
+    }
 }
