--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/routing/TargetSampler.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/routing/TargetSampler.kt
@@ -166,6 +166,14 @@
     }
 
     public companion object {
+        private val SCARCE_ROUND = listOf(2)
+
+        /** Above this part of the saved probes, further rounds are asked. */
+        private const val AMPLE_BUDGET = 0.5
+
+        /** Below this part of the saved probes, two targets are asked for a request. */
+        private const val SCARCE_BUDGET = 0.25
+
         /** How many targets are asked in each round; four found a fast one for 99 requests in 100 on calm days. */
         private val ROUND_SIZES = listOf(4, 4, 8)
 
