--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/routing/TargetHealth.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/routing/TargetHealth.kt
@@ -20,6 +20,7 @@
     private var goodUntil = Duration.ZERO
     private var fullUntil = Duration.ZERO
     private var unreachableUntil = Duration.ZERO
+    private var unreachableTimes = 0
     private val pending = HashMap<Long, Duration>()
     private var nextTicket = 0L
 
@@ -42,12 +43,14 @@
 
     /** Counts that the target itself did not answer at its address. */
     public fun unreachable() {
-        unreachableUntil = clock() + UNREACHABLE_MEMORY
+        unreachableUntil = clock() + UNREACHABLE_MEMORY * (1 shl unreachableTimes.coerceAtMost(MOST_DOUBLINGS))
+        unreachableTimes++
     }
 
     /** Takes over what the target says of itself. */
     public fun sampled(newSample: LoadSample) {
         unreachableUntil = Duration.ZERO
+        unreachableTimes = 0
         sample = newSample
         sampledAt = clock()
     }
@@ -118,9 +121,12 @@
         /** How long a good answer outweighs a bad health check. */
         val GOOD_MEMORY = 2.seconds
 
-        /** How long an address without its target is left out; a target that crashed stays registered for seconds. */
+        /** How long an address without its target is left out at first; a target that crashed stays registered for seconds. */
         val UNREACHABLE_MEMORY = 700.milliseconds
 
+        /** Doublings of that time, so that it stays under the three seconds in which a target starts again. */
+        const val MOST_DOUBLINGS = 2
+
         /** How long a target that shed a request counts as full: a fraction of a request's work. */
         val FULL_MEMORY = 60.milliseconds
     }
--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/routing/TargetSampler.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/routing/TargetSampler.kt
@@ -48,7 +48,7 @@
         bodyBytes: Int,
         goodEnough: Double = GOOD_ENOUGH,
     ): ChosenTarget<Connection> {
-        val ranked = inOrder(candidates)
+        val ranked = inOrder(reachable(candidates))
         val answers = mutableListOf<Answer<Connection>>()
         var asked = 0
         try {
@@ -96,11 +96,14 @@
         candidates: List<TargetCandidate>,
         asked: Int,
     ): ChosenTarget<Connection> {
-        val reachable = candidates.filter { !it.health.isUnreachable }.ifEmpty { candidates }
-        val chosen = reachable.shuffled(random).minBy { rememberedFactor(it) }
+        val chosen = reachable(candidates).shuffled(random).minBy { rememberedFactor(it) }
         return ChosenTarget(chosen, null, rememberedFactor(chosen), remembered(chosen)?.excess ?: 0, asked)
     }
 
+    /** Without those at whose addresses nobody answered a moment ago, unless there are no others. */
+    private fun reachable(candidates: List<TargetCandidate>): List<TargetCandidate> =
+        candidates.filter { !it.health.isUnreachable }.ifEmpty { candidates }
+
     private fun remembered(candidate: TargetCandidate): LoadSample? =
         candidate.health.sample?.takeIf { clock() - candidate.health.sampledAt < MEMORY }
 
@@ -112,10 +115,7 @@
 
     /** Sound targets first, in random order. */
     private fun ranked(candidates: List<TargetCandidate>): List<TargetCandidate> =
-        candidates.sortedBy { candidate ->
-            val unreachable = if (candidate.health.isUnreachable) UNREACHABLE_RANK else 0.0
-            candidate.health.penalty() + unreachable + if (candidate.health.isFull) FULL_RANK else 0.0
-        }
+        candidates.sortedBy { it.health.penalty() + if (it.health.isFull) FULL_RANK else 0.0 }
 
     private fun factor(
         answer: Answer<Connection>,
@@ -204,9 +204,6 @@
         /** The expected factor of a target that nothing is remembered of: the mean over slowed and usual machines. */
         private const val UNKNOWN_FACTOR = 2.0
 
-        /** Addresses at which nobody answered a moment ago are asked last of all. */
-        private const val UNREACHABLE_RANK = 100.0
-
         /** Targets that shed a request a moment ago are asked last. */
         private const val FULL_RANK = 3.0
     }
--- a/goldcrestquay/src/test/kotlin/dev/goldcrestquay/routing/RequestForwarderTest.kt
+++ b/goldcrestquay/src/test/kotlin/dev/goldcrestquay/routing/RequestForwarderTest.kt
@@ -31,6 +31,8 @@
     private val loads = HashMap<String, LoadSample>()
     private val sends = mutableListOf<String>()
     private val released = mutableListOf<String>()
+    private val probed = mutableListOf<String>()
+    private val dead = mutableSetOf<String>()
 
     private fun TestScope.forwarder(
         targets: List<RegisteredTarget>,
@@ -45,7 +47,8 @@
         val table = TargetTable(state, "north", clock, random, ColdAllowance("vm-1", clock) { listOf("vm-1") })
         val probe: suspend (RegisteredTarget, Any) -> Probe<String>? = { target, _ ->
             delay(1)
-            Probe(loads[target.id] ?: LoadSample(0, 0, 4, 1.0, true), target.id)
+            probed += target.id
+            if (target.id in dead) null else Probe(loads[target.id] ?: LoadSample(0, 0, 4, 1.0, true), target.id)
         }
         val probes = ProbeBudget(probesPerSecond, clock) { 1 }
         val sampler = TargetSampler(clock, random, backgroundScope, probes, probe) { released += it }
@@ -154,6 +157,21 @@
             (sends.count { it == "a" } <= 1) shouldBe true
         }
 
+    @Test
+    fun `targets of a data centre that lost power do not use up the probes of those that serve`() =
+        runTest {
+            val lost = (1..6).map { registeredTarget("lost-$it") }
+            val distant = (1..6).map { registeredTarget("distant-$it", dataCentre = "south") }
+            dead += lost.map { it.id }
+            val forwarder = forwarder(lost + distant)
+            repeat(3) { forwarder.forward(request(RequestKind.SAFE) { SendResult.Replied("x") }) }
+            probed.clear()
+            sends.clear()
+            repeat(5) { forwarder.forward(request(RequestKind.SAFE) { SendResult.Replied("x") }) }
+            probed.filter { it in dead }.shouldBeEmpty()
+            sends.filter { it in dead }.shouldBeEmpty()
+        }
+
     @Test
     fun `the fastest machine of those asked gets the request`() =
         runTest {
