--- a/goldcrestquay-platform-standins/src/main/kotlin/dev/goldcrestquay/standins/platform/Deployment.kt
+++ b/goldcrestquay-platform-standins/src/main/kotlin/dev/goldcrestquay/standins/platform/Deployment.kt
@@ -2,7 +2,8 @@
 
 /** Documents that an operator and the platform would write for a small deployment. */
 object Deployment {
-    private const val HEADER_LIMITS = """"max_header_bytes":16384,"max_body_bytes":67108864,"header_timeout":"3000ms","idle_timeout":"15000ms""""
+    private const val HEADER_LIMITS =
+        """"max_header_bytes":16384,"max_body_bytes":67108864,"header_timeout":"3000ms","idle_timeout":"15000ms""""
 
     /** A plan with one route of each kind on `/safe/`, `/unsafe/` and `/upload/` of `shop.example`. */
     fun plan(
