--- a/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/OriginConnection.kt
+++ b/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/OriginConnection.kt
@@ -17,6 +17,7 @@
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CompletableDeferred
 import java.io.IOException
+import kotlin.time.Duration
 
 /** An exchange over a connection broke; what was sent may have been received. */
 internal class OriginFailure(
@@ -39,11 +40,7 @@
     private var spent = false
 
     /** When the connection became idle, on the pool's clock. */
-    var idleSince = kotlin.time.Duration.ZERO
-
-    /** How many exchanges have ended well. */
-    var exchanges = 0
-        private set
+    var idleSince = Duration.ZERO
 
     /** Whether another request may be sent. */
     val isUsable: Boolean get() = channel.isActive && !spent && exchange == null
@@ -116,7 +113,6 @@
         if (!isLast) return
         if (reset) return fail("the connection was reset during the answer")
         exchange = null
-        exchanges++
         val complete = reply.written.isSuccess
         if (!complete || !HttpUtil.isKeepAlive(reply.head) || !reply.isFramed) close()
         reply.finished()
--- a/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/OriginPool.kt
+++ b/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/OriginPool.kt
@@ -4,6 +4,8 @@
 import dev.goldcrestquay.machine.SocketAddress
 import io.netty.bootstrap.Bootstrap
 import io.netty.channel.Channel
+import io.netty.channel.ChannelHandlerContext
+import io.netty.channel.ChannelInboundHandlerAdapter
 import io.netty.channel.ChannelInitializer
 import io.netty.channel.ChannelOption
 import io.netty.channel.EventLoop
@@ -25,10 +27,6 @@
     private val idle = HashMap<SocketAddress, ArrayDeque<OriginConnection>>()
     private val keepTimes = HashMap<SocketAddress, Duration>()
 
-    /** Connections opened since the start. */
-    var opened = 0L
-        private set
-
     /** An idle connection to [address] that is younger than its keep time, or null. */
     fun takeIdle(address: SocketAddress): OriginConnection? {
         val connections = idle[address] ?: return null
@@ -83,7 +81,6 @@
                 .option(ChannelOption.TCP_NODELAY, true)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_LIMIT.inWholeMilliseconds.toInt())
                 .handler(Initializer(address, result))
-        opened++
         val future = bootstrap.connect(InetSocketAddress(address.host, address.port))
         future.addListener {
             if (!it.isSuccess) result.completeExceptionally(OriginFailure("no connection to $address: ${it.cause()?.message}"))
@@ -125,8 +122,8 @@
 /** Calls [activated] once the channel is connected. */
 private class ActivationHandler(
     private val activated: () -> Unit,
-) : io.netty.channel.ChannelInboundHandlerAdapter() {
-    override fun channelActive(context: io.netty.channel.ChannelHandlerContext) {
+) : ChannelInboundHandlerAdapter() {
+    override fun channelActive(context: ChannelHandlerContext) {
         activated()
         context.fireChannelActive()
     }
--- a/goldcrestquay-platform-standins/src/main/kotlin/dev/goldcrestquay/standins/platform/TrainingMain.kt
+++ b/goldcrestquay-platform-standins/src/main/kotlin/dev/goldcrestquay/standins/platform/TrainingMain.kt
@@ -1,6 +1,7 @@
 package dev.goldcrestquay.standins.platform
 
 import io.vertx.core.Vertx
+import io.vertx.core.buffer.Buffer
 import io.vertx.ext.web.client.WebClient
 import io.vertx.kotlin.coroutines.coAwait
 import kotlinx.coroutines.delay
@@ -68,10 +69,8 @@
         .putHeader("Host", "shop.example")
         .putHeader("Goldcrestquay-Request-Id", "training-$number")
         .putHeader("Goldcrestquay-Deadline-Ms", "1000")
-        .sendBuffer(
-            io.vertx.core.buffer.Buffer
-                .buffer("order"),
-        ).coAwait()
+        .sendBuffer(Buffer.buffer("order"))
+        .coAwait()
 }
 
 /** The first of four ports in a row that were free a moment ago. */
--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/machine/FleetMembers.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/machine/FleetMembers.kt
@@ -90,9 +90,6 @@
             .distinct()
             .sortedBy { stableHash(it.toString()) }
 
-    /** Whether a member at [address] was heard a moment ago. */
-    public fun isHeard(address: SocketAddress): Boolean = heard.values.any { it.member.peerAddress == address && clock() - it.at < SILENCE }
-
     private fun refresh() {
         latestList = heard.values.map { it.member }.filter { it.name != self.name } + self
         largestCount = maxOf(largestCount, alive.size)
