--- a/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/DecisionLog.kt
+++ b/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/DecisionLog.kt
@@ -171,7 +171,7 @@
 
         const val FLUSH_MILLISECONDS = 50L
 
-        /** Loading the logging library takes a quarter of a second of a small machine's processor. */
-        const val START_DELAY_MILLISECONDS = 2000L
+        /** Loading the logging library takes a quarter of a second of a small machine's processor: not while callers return. */
+        const val START_DELAY_MILLISECONDS = 4000L
     }
 }
--- a/goldcrestquay-platform-standins/src/main/kotlin/dev/goldcrestquay/standins/platform/TrainingMain.kt
+++ b/goldcrestquay-platform-standins/src/main/kotlin/dev/goldcrestquay/standins/platform/TrainingMain.kt
@@ -16,6 +16,10 @@
 
 private const val UPSTREAMS = 3
 private const val REQUESTS = 40
+private const val BAD_GATEWAY = 502
+
+/** Nobody listens here, as at a seed that is down. */
+private const val DEAD_PORT = 1
 private val START_LIMIT = 30.seconds
 private val START_CHECK = 50.milliseconds
 
@@ -34,7 +38,9 @@
         val firstPort = freePorts()
         val file = File(arguments.single())
         val draft = File(file.path + ".draft")
-        draft.writeText(Deployment.settings("training", firstPort, store.port))
+        val peer = mirror(vertx, firstPort + 2)
+        val seeds = listOf("127.0.0.1:$DEAD_PORT", "127.0.0.1:$peer")
+        draft.writeText(Deployment.settings("training", firstPort, store.port, seeds))
         draft.renameTo(file)
         val client = WebClient.create(vertx)
         withTimeout(START_LIMIT) { while (!isReady(client, firstPort + 1)) delay(START_CHECK) }
@@ -44,6 +50,24 @@
     exitProcess(0)
 }
 
+/** A peer that gives each call back to the entry VM itself, so that both sides of the exchange are trained; its port. */
+private suspend fun mirror(
+    vertx: Vertx,
+    entryPort: Int,
+): Int {
+    val client = WebClient.create(vertx)
+    return vertx
+        .createHttpServer()
+        .requestHandler { request ->
+            request.body().compose { client.post(entryPort, "127.0.0.1", request.uri()).sendBuffer(it) }.onComplete { answer ->
+                val response = request.response()
+                if (answer.succeeded()) response.end(answer.result().bodyAsBuffer()) else response.setStatusCode(BAD_GATEWAY).end()
+            }
+        }.listen(0, "127.0.0.1")
+        .coAwait()
+        .actualPort()
+}
+
 private suspend fun isReady(
     client: WebClient,
     port: Int,
--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/routing/TargetSampler.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/routing/TargetSampler.kt
@@ -41,6 +41,9 @@
         val probe: Probe<Connection>,
     )
 
+    /** The requests that wait for probes now. */
+    private var choosing = 0
+
     /** Chooses among [candidates], which must not be empty. */
     public suspend fun choose(
         candidates: List<TargetCandidate>,
@@ -51,6 +54,7 @@
         val ranked = inOrder(reachable(candidates))
         val answers = mutableListOf<Answer<Connection>>()
         var asked = 0
+        choosing++
         try {
             for (round in rounds(service.name, candidates.size)) {
                 val group = ranked.drop(asked).take(round).let { it.take(budget.take(service.name, candidates.size, it.size)) }
@@ -63,6 +67,8 @@
         } catch (exception: CancellationException) {
             answers.forEach { release(it.probe.connection) }
             throw exception
+        } finally {
+            choosing--
         }
         val best = answers.minByOrNull { factor(it, bodyBytes) }
         answers.filter { it !== best }.forEach { release(it.probe.connection) }
@@ -70,13 +76,19 @@
         return ChosenTarget(best.candidate, best.probe.connection, factor(best, bodyBytes), best.probe.sample.excess, asked)
     }
 
-    /** Fewer targets are asked as the budget runs low: two asked for each request beat many for some and none for others. */
+    /**
+     * Fewer targets are asked as the budget runs low: two asked for each request beat many for some and none for others.
+     *
+     * The same holds for a crowd, as when a process that was down finds all its callers waiting: while each exchange still costs
+     * milliseconds of processor time, four asked for each would hold up everybody's send.
+     */
     private fun rounds(
         service: String,
         targets: Int,
     ): List<Int> {
         val left = budget.left(service, targets)
         return when {
+            choosing > CROWD -> SCARCE_ROUND
             left > AMPLE_BUDGET -> ROUND_SIZES
             left > SCARCE_BUDGET -> ROUND_SIZES.take(1)
             else -> SCARCE_ROUND
@@ -174,6 +186,9 @@
         /** Below this part of the saved probes, two targets are asked for a request. */
         private const val SCARCE_BUDGET = 0.25
 
+        /** More requests than this that choose at once are a crowd; a busy second brings ten, spread out. */
+        private const val CROWD = 4
+
         /** How many targets are asked in each round; four found a fast one for 99 requests in 100 on calm days. */
         private val ROUND_SIZES = listOf(4, 4, 8)
 
--- a/goldcrestquay/src/test/kotlin/dev/goldcrestquay/routing/RequestForwarderTest.kt
+++ b/goldcrestquay/src/test/kotlin/dev/goldcrestquay/routing/RequestForwarderTest.kt
@@ -12,9 +12,12 @@
 import dev.goldcrestquay.targetRecord
 import io.kotest.matchers.collections.shouldBeEmpty
 import io.kotest.matchers.collections.shouldHaveSize
+import io.kotest.matchers.ints.shouldBeLessThan
 import io.kotest.matchers.shouldBe
 import io.kotest.matchers.types.shouldBeInstanceOf
 import kotlinx.coroutines.ExperimentalCoroutinesApi
+import kotlinx.coroutines.async
+import kotlinx.coroutines.awaitAll
 import kotlinx.coroutines.awaitCancellation
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.test.TestScope
@@ -172,6 +175,16 @@
             sends.filter { it in dead }.shouldBeEmpty()
         }
 
+    @Test
+    fun `a crowd that finds the process just started asks two targets each`() =
+        runTest {
+            val targets = (1..20).map { registeredTarget("t$it") }
+            val forwarder = forwarder(targets)
+            val calls = (1..20).map { async { forwarder.forward(request(RequestKind.SAFE) { SendResult.Replied("done") }) } }
+            calls.awaitAll().forEach { it.shouldBeInstanceOf<ForwardOutcome.Answered<String>>() }
+            probed.size shouldBeLessThan 20 * 3
+        }
+
     @Test
     fun `the fastest machine of those asked gets the request`() =
         runTest {
