Compute the moves under way once a change instead of once a request

Cause: every request scanned all facts for orders, found on reading. Ruled out: rebuilding with the target table, since steps of a move do not change the facts. Tests unchanged and passing.

--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/machine/SharedState.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/machine/SharedState.kt
@@ -40,7 +40,9 @@
     public var confirmedAt: Duration? = null
         private set
 
-    private var rollouts = mapOf<String, RolloutState>()
+    private var steps = mapOf<String, RolloutState>()
+    private var ordersView: Map<String, RolloutRecord>? = null
+    private var rolloutsView: Map<String, RolloutState>? = null
 
     private val loaded = CompletableDeferred<Unit>()
 
@@ -78,6 +80,7 @@
             }
         }
         sequence++
+        if (record !is TargetRecord) forgetViews()
         if (known == null) {
             held[id] = Held(record, sequence, clock())
         } else {
@@ -134,10 +137,11 @@
 
     /** The moves ordered now, by service. */
     public fun orders(): Map<String, RolloutRecord> =
-        held.values
+        ordersView ?: held.values
             .mapNotNull { it.record as? RolloutRecord }
             .filter { it.order != null }
             .associateBy { it.service }
+            .also { ordersView = it }
 
     /** What the store says of the move of [service] to [version], or null. */
     public fun verdict(
@@ -151,23 +155,30 @@
 
     /** Takes over the steps that the reader decided; a finished move stays finished. */
     public fun steps(states: List<RolloutState>) {
-        rollouts = states.associateBy { it.order.service }
+        steps = states.associateBy { it.order.service }
+        rolloutsView = null
     }
 
-    /** How the moves stand, by service. */
-    public fun rollouts(): Map<String, RolloutState> =
-        orders().mapValues { (service, record) ->
-            val order = checkNotNull(record.order)
-            val written = verdict(service, order.targetVersion)?.outcome
-            val decided = rollouts[service]?.takeIf { it.orderOffset == record.offset }?.phase
-            val phase =
-                when (written) {
-                    RolloutOutcome.COMPLETED -> RolloutPhase.COMPLETED
-                    RolloutOutcome.ROLLED_BACK -> RolloutPhase.ROLLED_BACK
-                    else -> decided ?: RolloutPhase.TRIAL
-                }
-            RolloutState(order, record.offset, phase)
-        }
+    /** How the moves stand, by service; asked for with every request. */
+    public fun rollouts(): Map<String, RolloutState> = rolloutsView ?: orders().mapValues(::stateOf).also { rolloutsView = it }
+
+    private fun stateOf(entry: Map.Entry<String, RolloutRecord>): RolloutState {
+        val (service, record) = entry
+        val order = checkNotNull(record.order)
+        val decided = steps[service]?.takeIf { it.orderOffset == record.offset }?.phase
+        val phase =
+            when (verdict(service, order.targetVersion)?.outcome) {
+                RolloutOutcome.COMPLETED -> RolloutPhase.COMPLETED
+                RolloutOutcome.ROLLED_BACK -> RolloutPhase.ROLLED_BACK
+                else -> decided ?: RolloutPhase.TRIAL
+            }
+        return RolloutState(order, record.offset, phase)
+    }
+
+    private fun forgetViews() {
+        ordersView = null
+        rolloutsView = null
+    }
 
     /** When this process first saw [version] of [service]; null when it was there from the first load on. */
     public fun appearedAt(
