--- a/goldcrestquay-platform-standins/src/main/kotlin/dev/goldcrestquay/standins/platform/Deployment.kt
+++ b/goldcrestquay-platform-standins/src/main/kotlin/dev/goldcrestquay/standins/platform/Deployment.kt
@@ -21,16 +21,17 @@
             """"rows":[["$service","${UpstreamStandIn.HEALTH_PATH}",200,"h1",false,"3s",7.0]]},"limits":{$HEADER_LIMITS}}"""
     }
 
-    /** The settings of an entry VM whose ports begin at [firstPort]. */
+    /** The settings of an entry VM on [host] whose ports begin at [firstPort]. */
     fun settings(
         name: String,
         firstPort: Int,
         storePort: Int,
         seeds: List<String> = emptyList(),
+        host: String = "127.0.0.1",
     ): String {
         val seedList = seeds.joinToString(",") { "\"$it\"" }
-        return """{"node_name":"$name","zone":"north","listen":{"front":"127.0.0.1:$firstPort","ready":"127.0.0.1:${firstPort + 1}",""" +
-            """"control":"127.0.0.1:${firstPort + 2}","directory":"127.0.0.1:${firstPort + 3}"},"seeds":[$seedList],""" +
+        return """{"node_name":"$name","zone":"north","listen":{"front":"$host:$firstPort","ready":"$host:${firstPort + 1}",""" +
+            """"control":"$host:${firstPort + 2}","directory":"$host:${firstPort + 3}"},"seeds":[$seedList],""" +
             """"bounds":{"grace":"6s","retry_budget_ratio":0.2,"retry_budget_slack":56,"retry_window":"10s","probes_per_s":60},""" +
             """"platform":{"address":"127.0.0.1:$storePort"}}"""
     }
--- a/goldcrestquay-platform-standins/src/main/kotlin/dev/goldcrestquay/standins/platform/TrainingMain.kt
+++ b/goldcrestquay-platform-standins/src/main/kotlin/dev/goldcrestquay/standins/platform/TrainingMain.kt
@@ -68,13 +68,15 @@
         .actualPort()
 }
 
-private suspend fun isReady(
+/** Whether the entry VM on [host] says at [port] that callers may come. */
+internal suspend fun isReady(
     client: WebClient,
     port: Int,
+    host: String = "127.0.0.1",
 ): Boolean =
     try {
         client
-            .get(port, "127.0.0.1", "/ready")
+            .get(port, host, "/ready")
             .send()
             .coAwait()
             .statusCode() == 200
