Follow a slow store without changing readers; tell peers what is left of a warm-up

Found beside it: a peer passed on the warm-up that a target had told seconds ago.

Now the short read comes first and shortens the wait for orders by what it took; it may take a second. Tests that failed first: a store that takes 350, 600 and 800 ms keeps its reader for 10 s and facts stay under 2.5 s; a peer is told what is left of a warm-up.

--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/machine/SharedState.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/machine/SharedState.kt
@@ -115,12 +115,18 @@
             is PlanRecord, is VerdictRecord -> null
         }
 
-    /** The facts that changed after [sequence], oldest change first. */
+    /** The facts that changed after [sequence], oldest change first, as they stand now: what is left of a warm-up shrinks. */
     public fun changesAfter(sequence: Long): List<SharedRecord> =
         held.values
             .filter { it.sequence > sequence }
             .sortedBy { it.sequence }
-            .map { it.record }
+            .map { it.recordAt(clock()) }
+
+    private fun Held.recordAt(now: Duration): SharedRecord {
+        val told = record as? TargetRecord ?: return record
+        val target = told.target ?: return record
+        return told.copy(target = target.copy(warmUpLeft = (target.warmUpLeft - (now - changedAt)).coerceAtLeast(Duration.ZERO)))
+    }
 
     /** The targets that the store names. */
     public fun targets(): List<KnownTarget> =
--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/machine/StoreReader.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/machine/StoreReader.kt
@@ -27,14 +27,20 @@
     /** The offset that follows the last verdict read. */
     public val verdictsEnd: Long get() = positions[Feed.VERDICTS] ?: 0
 
-    /** Reads what operators and targets wrote, waiting up to [wait] for an order; returns whether all was read. */
-    public suspend fun step(wait: Duration): Boolean =
-        coroutineScope {
-            val feeds = listOf(async { follow(Feed.OPERATOR, wait) }, async { follow(Feed.TARGETS, Duration.ZERO) })
-            val done = feeds.awaitAll().all { it }
-            applyDeferred()
-            done
-        }
+    /**
+     * Reads what targets wrote, then what operators wrote, waiting up to [wait] for an order; returns whether all was read.
+     *
+     * The first call tells how slow the store is. The wait is shortened by it, so that a slow store does not make facts older.
+     */
+    public suspend fun step(wait: Duration): Boolean {
+        val started = clock()
+        if (!follow(Feed.TARGETS, Duration.ZERO, SILENT_LIMIT)) return false
+        val took = clock() - started
+        val orderWait = (wait - took * 2).coerceAtLeast(Duration.ZERO)
+        val done = follow(Feed.OPERATOR, orderWait, orderWait + CALL_LIMIT + took * 2)
+        applyDeferred()
+        return done
+    }
 
     /** Loads every feed whole, the verdicts too; returns whether all was read. */
     public suspend fun load(): Boolean =
@@ -49,15 +55,16 @@
         }
 
     /** Reads the verdicts written since; returns whether that was done. */
-    public suspend fun followVerdicts(): Boolean = follow(Feed.VERDICTS, Duration.ZERO)
+    public suspend fun followVerdicts(): Boolean = follow(Feed.VERDICTS, Duration.ZERO, SILENT_LIMIT)
 
     private suspend fun follow(
         feed: Feed,
         wait: Duration,
+        limit: Duration,
     ): Boolean {
         val position = positions[feed] ?: return load(feed)
         val asked = clock()
-        val result = withTimeoutOrNull(wait + CALL_LIMIT) { store.read(feed, position, wait) } ?: StoreResult.Unavailable("no answer")
+        val result = withTimeoutOrNull(limit) { store.read(feed, position, wait) } ?: StoreResult.Unavailable("no answer")
         return when (result) {
             is StoreResult.Done -> {
                 noteAvailable()
@@ -131,9 +138,12 @@
     }
 
     private companion object {
-        /** The store answers in a few milliseconds; beyond this a connection is taken for dead. */
+        /** The store answers in a few milliseconds; beyond this and twice its last answer's time a connection is taken for dead. */
         val CALL_LIMIT = 400.milliseconds
 
+        /** A store that is slow answers within this; one that is silent is left in time for another reader. */
+        val SILENT_LIMIT = 1000.milliseconds
+
         /** Pages of a large fleet take several calls. */
         val LOAD_LIMIT = 1500.milliseconds
 
--- a/goldcrestquay/src/test/kotlin/dev/goldcrestquay/machine/FakeStore.kt
+++ b/goldcrestquay/src/test/kotlin/dev/goldcrestquay/machine/FakeStore.kt
@@ -8,6 +8,7 @@
 import kotlinx.coroutines.awaitCancellation
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.withTimeoutOrNull
+import kotlin.time.Duration.Companion.milliseconds
 
 /** How the store treats one entry VM's calls. */
 internal enum class Access { SERVED, REFUSED, SILENT }
@@ -20,6 +21,9 @@
     /** How calls of an entry VM are treated, by its name. */
     var access: (String) -> Access = { Access.SERVED }
 
+    /** How long the store takes for a call. */
+    var callTime = 4.milliseconds
+
     /** The calls so far. */
     var calls = 0
         private set
@@ -87,15 +91,11 @@
         answer: suspend () -> StoreResult<T>,
     ): StoreResult<T> {
         calls++
-        delay(CALL_MILLISECONDS)
+        delay(callTime)
         return when (access(name)) {
             Access.SERVED -> answer()
             Access.REFUSED -> StoreResult.Unavailable("refused")
             Access.SILENT -> awaitCancellation()
         }
     }
-
-    private companion object {
-        const val CALL_MILLISECONDS = 4L
-    }
 }
--- a/goldcrestquay/src/test/kotlin/dev/goldcrestquay/machine/FleetFeedTest.kt
+++ b/goldcrestquay/src/test/kotlin/dev/goldcrestquay/machine/FleetFeedTest.kt
@@ -241,6 +241,24 @@
             (store.calls - before) shouldBeLessThan 10 * 8
         }
 
+    @Test
+    fun `a slow store keeps its reader and facts stay young`() =
+        runTest {
+            listOf(350, 600, 800).forEach { slowness ->
+                val fleet = fleet(13)
+                delay(5.seconds)
+                val reader = fleet.readers.single()
+                store.callTime = slowness.milliseconds
+                repeat(100) {
+                    delay(100.milliseconds)
+                    fleet.running.forEach { it.state.age() shouldBeLessThan 2500.milliseconds }
+                }
+                fleet.readers shouldBe listOf(reader)
+                store.callTime = 4.milliseconds
+                fleet.running.toList().forEach { fleet.kill(it) }
+            }
+        }
+
     @Test
     fun `in a large fleet nobody answers more than a bounded number of peers`() =
         runTest {
--- a/goldcrestquay/src/test/kotlin/dev/goldcrestquay/machine/SharedStateTest.kt
+++ b/goldcrestquay/src/test/kotlin/dev/goldcrestquay/machine/SharedStateTest.kt
@@ -38,6 +38,17 @@
         state.isReady("a") shouldBe true
     }
 
+    @Test
+    fun `a peer is told what is left of a warm-up now, not when the target said it`() {
+        var now = 10.seconds
+        val state = SharedState { now }
+        state.apply(targetRecord(registeredTarget("a", warmUpLeft = 3.seconds), offset = 1))
+        now = 12.seconds
+        (state.changesAfter(0).single() as TargetRecord).target?.warmUpLeft shouldBe 1.seconds
+        now = 20.seconds
+        (state.changesAfter(0).single() as TargetRecord).target?.warmUpLeft shouldBe 0.seconds
+    }
+
     @Test
     fun `a heartbeat without news changes nothing`() {
         state.apply(targetRecord(registeredTarget("a", heartbeat = 1), offset = 1))
