--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/machine/EntryControl.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/machine/EntryControl.kt
@@ -52,7 +52,8 @@
     public val logReachable: Boolean get() = links.clock() - logReadAt < LOG_FRESH
 
     /** Whether the state held is complete, or no peer could complete it in time. */
-    public val mayServe: Boolean get() = vm.environments.complete || links.clock() - startedAt > settings.incompleteGrace
+    public val mayServe: Boolean
+        get() = placement !== Placement.EMPTY && (vm.environments.complete || links.clock() - startedAt > settings.incompleteGrace)
 
     /** Runs all loops until cancelled. */
     public suspend fun run(): Unit =
