Keep evidence, loopback servers and the metrics' text once

Cause: read anew, the change held twins: the feed pruned and joined evidence of moves in two places and listed the peers that answer in three, three stand-ins opened a loopback server alike, and both metrics classes wrote their text alike.

Ruled out: joining the two unknown-member rules of the probe and repeat budgets, which differ in what they assume.

--- a/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/EntryMetrics.kt
+++ b/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/EntryMetrics.kt
@@ -6,9 +6,7 @@
 import io.prometheus.metrics.core.metrics.Counter
 import io.prometheus.metrics.core.metrics.GaugeWithCallback
 import io.prometheus.metrics.core.metrics.Histogram
-import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter
 import io.prometheus.metrics.model.registry.PrometheusRegistry
-import java.io.ByteArrayOutputStream
 
 /** The Prometheus metrics of one entry VM. */
 class EntryMetrics {
@@ -91,11 +89,7 @@
     }
 
     /** All metrics in Prometheus text form. */
-    fun text(): String {
-        val buffer = ByteArrayOutputStream()
-        PrometheusTextFormatWriter.create().write(buffer, registry.scrape())
-        return buffer.toString(Charsets.UTF_8)
-    }
+    fun text(): String = registry.text()
 
     private fun gauge(
         name: String,
--- /dev/null
+++ b/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/MetricsText.kt
@@ -0,0 +1,12 @@
+package dev.goldcrestquay.http
+
+import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter
+import io.prometheus.metrics.model.registry.PrometheusRegistry
+import java.io.ByteArrayOutputStream
+
+/** All metrics of the registry in Prometheus text form. */
+internal fun PrometheusRegistry.text(): String {
+    val buffer = ByteArrayOutputStream()
+    PrometheusTextFormatWriter.create().write(buffer, scrape())
+    return buffer.toString(Charsets.UTF_8)
+}
--- a/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/GatewayMetrics.kt
+++ b/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/GatewayMetrics.kt
@@ -1,12 +1,11 @@
 package dev.goldcrestquay.http.edge
 
+import dev.goldcrestquay.http.text
 import dev.goldcrestquay.machine.FleetEvent
 import dev.goldcrestquay.routing.ForwardEvent
 import io.prometheus.metrics.core.metrics.Counter
 import io.prometheus.metrics.core.metrics.Histogram
-import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter
 import io.prometheus.metrics.model.registry.PrometheusRegistry
-import java.io.ByteArrayOutputStream
 import kotlin.time.DurationUnit
 
 /** The Prometheus metrics of one entry VM on the platform. */
@@ -49,11 +48,7 @@
     }
 
     /** All metrics in Prometheus text form. */
-    fun text(): String {
-        val buffer = ByteArrayOutputStream()
-        PrometheusTextFormatWriter.create().write(buffer, registry.scrape())
-        return buffer.toString(Charsets.UTF_8)
-    }
+    fun text(): String = registry.text()
 
     private fun counter(
         name: String,
--- /dev/null
+++ b/goldcrestquay-platform-standins/src/main/kotlin/dev/goldcrestquay/standins/platform/Loopback.kt
@@ -0,0 +1,10 @@
+package dev.goldcrestquay.standins.platform
+
+import io.vertx.core.Vertx
+import io.vertx.core.http.HttpServer
+import io.vertx.core.http.HttpServerRequest
+import io.vertx.kotlin.coroutines.coAwait
+
+/** A server on a free port of loopback, answered by [handler]. */
+internal suspend fun Vertx.serveOnLoopback(handler: (HttpServerRequest) -> Unit): HttpServer =
+    createHttpServer().requestHandler(handler).listen(0, "127.0.0.1").coAwait()
--- a/goldcrestquay-platform-standins/src/main/kotlin/dev/goldcrestquay/standins/platform/StoreStandIn.kt
+++ b/goldcrestquay-platform-standins/src/main/kotlin/dev/goldcrestquay/standins/platform/StoreStandIn.kt
@@ -4,7 +4,6 @@
 import io.vertx.core.buffer.Buffer
 import io.vertx.core.http.HttpServer
 import io.vertx.core.http.HttpServerRequest
-import io.vertx.kotlin.coroutines.coAwait
 import kotlinx.serialization.json.addJsonObject
 import kotlinx.serialization.json.buildJsonObject
 import kotlinx.serialization.json.put
@@ -54,12 +53,7 @@
 
     /** Listens on a free port of loopback. */
     suspend fun start() {
-        server =
-            vertx
-                .createHttpServer()
-                .requestHandler(::handle)
-                .listen(0, "127.0.0.1")
-                .coAwait()
+        server = vertx.serveOnLoopback(::handle)
     }
 
     /** Writes a record as an operator or a target would; a null [value] removes the key. */
--- a/goldcrestquay-platform-standins/src/main/kotlin/dev/goldcrestquay/standins/platform/TrainingMain.kt
+++ b/goldcrestquay-platform-standins/src/main/kotlin/dev/goldcrestquay/standins/platform/TrainingMain.kt
@@ -57,15 +57,12 @@
 ): Int {
     val client = WebClient.create(vertx)
     return vertx
-        .createHttpServer()
-        .requestHandler { request ->
+        .serveOnLoopback { request ->
             request.body().compose { client.post(entryPort, "127.0.0.1", request.uri()).sendBuffer(it) }.onComplete { answer ->
                 val response = request.response()
                 if (answer.succeeded()) response.end(answer.result().bodyAsBuffer()) else response.setStatusCode(BAD_GATEWAY).end()
             }
-        }.listen(0, "127.0.0.1")
-        .coAwait()
-        .actualPort()
+        }.actualPort()
 }
 
 /** Whether the entry VM on [host] says at [port] that callers may come. */
--- a/goldcrestquay-platform-standins/src/main/kotlin/dev/goldcrestquay/standins/platform/UpstreamStandIn.kt
+++ b/goldcrestquay-platform-standins/src/main/kotlin/dev/goldcrestquay/standins/platform/UpstreamStandIn.kt
@@ -74,12 +74,7 @@
 
     /** Listens on a free port of loopback. */
     suspend fun start() {
-        server =
-            vertx
-                .createHttpServer()
-                .requestHandler(::handle)
-                .listen(0, "127.0.0.1")
-                .coAwait()
+        server = vertx.serveOnLoopback(::handle)
     }
 
     /** Stops at once. */
--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/machine/FleetFeed.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/machine/FleetFeed.kt
@@ -2,7 +2,6 @@
 
 import dev.goldcrestquay.link.Clock
 import dev.goldcrestquay.move.RolloutController
-import dev.goldcrestquay.move.VersionCount
 import dev.goldcrestquay.move.VersionEvidence
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.cancelChildren
@@ -43,7 +42,7 @@
     private val members = parts.members
     private val selfAddress get() = members.self.peerAddress
     private val peers = PeerMemory(clock)
-    private val evidenceByProcess = HashMap<String, List<VersionCount>>()
+    private val evidence = EvidenceTable(process, parts.evidence, members)
     private var changed = CompletableDeferred<Unit>()
     private var signalled = FactPosition(process, 0, 0)
     private var confirmations = 0L
@@ -77,7 +76,7 @@
     public suspend fun answer(request: ExchangeRequest): ExchangeReply {
         val asked = clock()
         members.heard(request.sender, request.heard)
-        evidenceByProcess += request.evidence
+        evidence.heard(request.evidence)
         if (request.isReader && (reader == null || isStale())) become(request.sender.peerAddress)
         val known = request.known?.takeIf { it.process == process }
         if (known == position()) {
@@ -155,10 +154,8 @@
 
     private suspend fun decideRollouts() {
         if (state.orders().isEmpty()) return
-        val alive = members.alive.mapTo(HashSet()) { processOf(it) }
-        evidenceByProcess.keys.retainAll(alive)
-        val counts = (evidenceByProcess - process).values.flatten() + parts.evidence.of(state.orders().keys)
-        parts.controller.step(counts, alive.size)
+        val counts = evidence.of(state.orders().keys).values.flatten()
+        parts.controller.step(counts, members.alive.size)
     }
 
     /**
@@ -210,14 +207,13 @@
 
     /** Looks for a reader: the first few in the common order are asked, and this entry VM reads when it is its turn. */
     private suspend fun seek() {
-        val order = members.candidates(seeds)
-        val answering = order.filter { !peers.isSilent(it) }
+        val answering = answering()
         val firstFew = answering.take(MOST_ASKED)
         val next = (firstFew + selfAddress).firstOrNull { it in answering && !peers.isTurnedAway(it) && isTurnOf(it) }
         when {
             next == null -> awaitAny(firstFew.firstOrNull { it != selfAddress })
             next != selfAddress -> askCandidate(next)
-            next != order.first() && members.alive.size == 1 && state.age() < ALONE_PATIENCE -> {
+            next != members.candidates(seeds).first() && members.alive.size == 1 && state.age() < ALONE_PATIENCE -> {
                 delay(RETRY_PAUSE)
                 peers.forgive()
             }
@@ -265,16 +261,16 @@
         peers.served()
         become(selfAddress)
         signal(confirmed = true)
-        members.candidates(seeds).filter { it != selfAddress && !peers.isSilent(it) }.take(MOST_ASKED).forEach {
+        answering().filter { it != selfAddress }.take(MOST_ASKED).forEach {
             if (isReader) ask(it, Duration.ZERO)
         }
     }
 
     /** The first few in the common order try the store again soon, the others seldom. */
-    private fun selfPause(): Duration {
-        val place = members.candidates(seeds).filter { !peers.isSilent(it) }.indexOf(selfAddress)
-        return if (place < MOST_ASKED) SELF_PAUSE else LATER_SELF_PAUSE
-    }
+    private fun selfPause(): Duration = if (answering().indexOf(selfAddress) < MOST_ASKED) SELF_PAUSE else LATER_SELF_PAUSE
+
+    /** All that may be asked, this entry VM included, in the common order. */
+    private fun answering(): List<SocketAddress> = members.candidates(seeds).filter { !peers.isSilent(it) }
 
     private fun become(newReader: SocketAddress?) {
         if (reader == newReader) return
@@ -290,11 +286,11 @@
         val asked = clock()
         val followed = peers.followed(peer)
         val heardVersion = members.heardVersion
-        val evidence = relayedEvidence()
+        val told = if (isReader) emptyMap() else evidence.of(state.orders().keys)
         // Whom the reader hears goes down only: sent up again by its arbiter, the dead would never be forgotten.
         val heard = if (isReader) emptyList() else members.heardBesides(peer).takeIf { followed?.heardVersion != heardVersion }
         val known = followed?.position?.let { if (members.listedBy == peer) it else it.copy(membersVersion = null) }
-        val request = ExchangeRequest(members.self, known, hold.inWholeMilliseconds, heard, evidence, isReader)
+        val request = ExchangeRequest(members.self, known, hold.inWholeMilliseconds, heard, told, isReader)
         val reply = withTimeoutOrNull(hold + ANSWER_LIMIT) { parts.exchange(peer, request) }
         if (reply == null) {
             peers.forget(peer)
@@ -306,14 +302,6 @@
         return reply
     }
 
-    private fun relayedEvidence(): Map<String, List<VersionCount>> {
-        val services = state.orders().keys
-        if (services.isEmpty()) return emptyMap()
-        if (isReader) return emptyMap()
-        evidenceByProcess.keys.retainAll(members.alive.mapTo(HashSet()) { processOf(it) })
-        return evidenceByProcess + (process to parts.evidence.of(services))
-    }
-
     private fun take(
         peer: SocketAddress,
         reply: ExchangeReply,
@@ -344,8 +332,6 @@
 
     private fun position() = FactPosition(process, state.sequence, members.version, confirmations)
 
-    private fun processOf(member: FleetMember): String = "${member.name}/${member.incarnation}"
-
     private fun isFresh(reply: ExchangeReply): Boolean = (reply.ageMilliseconds ?: Long.MAX_VALUE) < FRESH_AGE.inWholeMilliseconds
 
     private fun isStale(): Boolean = state.age() >= FRESH_AGE
