--- a/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/DecisionLog.kt
+++ b/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/DecisionLog.kt
@@ -153,6 +153,7 @@
                 put("facts_age_ms", event.factsAge.inWholeMilliseconds)
             }
             is FleetEvent.PeerSilent -> put("peer", event.peer)
+            is FleetEvent.StepFailed -> put("reason", event.reason)
             is FleetEvent.FactsChanged -> {
                 put("sequence", event.sequence)
                 put("plan", event.planVersion)
--- a/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/EdgeServer.kt
+++ b/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/EdgeServer.kt
@@ -17,11 +17,13 @@
 import io.vertx.core.http.HttpServerRequest
 import io.vertx.core.http.HttpServerResponse
 import io.vertx.kotlin.coroutines.coAwait
+import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.CoroutineStart
 import kotlinx.coroutines.Job
 import kotlinx.coroutines.launch
+import kotlinx.coroutines.withTimeoutOrNull
 import kotlinx.serialization.json.Json
 import org.apache.logging.log4j.LogManager
 import java.util.Locale
@@ -96,17 +98,33 @@
         private var forward: ForwardRequest<OriginConnection, EdgeReply>? = null
         lateinit var job: Job
 
+        private val deadline = request.getHeader(protocol.deadline)?.toLongOrNull()?.milliseconds
+        private var heldBytes = 0L
+        private var isForwarding = false
+
+        /** Serves the request; an unexpected error ends this request with a failure, never the process or the other requests. */
         suspend fun run() {
-            if (isRefusing) return refuse(ResultCode.LEAVING, LEAVING_RETRY_DELAY)
-            val limits = state.routes?.plan?.limits
-            val body = readBody(limits?.maximumBodyBytes ?: Long.MAX_VALUE) ?: return
             try {
-                forward(body)
+                serve()
+            } catch (exception: CancellationException) {
+                throw exception
+            } catch (exception: Exception) {
+                log.error("unexpected error in request {}", request.getHeader(protocol.requestId), exception)
+                if (response.headWritten()) response.reset() else refuse(codeOfError(), null, close = true)
             } finally {
-                bodyBytes -= body.size
+                bodyBytes -= heldBytes
             }
         }
 
+        /** A request that failed before it was handed to the forwarder has not run. */
+        private fun codeOfError(): ResultCode = if (isForwarding) ResultCode.CONNECTION_LOST else ResultCode.BAD_REQUEST
+
+        private suspend fun serve() {
+            if (isRefusing) return refuse(ResultCode.LEAVING, LEAVING_RETRY_DELAY)
+            val limits = state.routes?.plan?.limits
+            forward(readBody(limits?.maximumBodyBytes ?: Long.MAX_VALUE) ?: return)
+        }
+
         fun onCallerDisconnected() {
             val forward = this.forward
             forward?.isCallerWaiting = false
@@ -123,10 +141,11 @@
                     path = request.uri().substringBefore('?'),
                     bodyBytes = body.size,
                     arrivedAt = arrivedAt,
-                    deadline = request.getHeader(protocol.deadline)?.toLongOrNull()?.milliseconds,
+                    deadline = deadline,
                     send = { target, connection, remaining -> targets.send(outgoing, target, connection, remaining) },
                 )
             this.forward = forward
+            isForwarding = true
             when (val outcome = forwarder.forward(forward)) {
                 is ForwardOutcome.Answered -> respond(outcome.reply)
                 is ForwardOutcome.NotRun -> refuse(outcome.code, outcome.retryAfter)
@@ -141,17 +160,31 @@
             if ((length == null || length == 0L) && !chunked) return ByteArray(0)
             val limit = minOf(maximum, MAXIMUM_BODY_BYTES)
             if ((length ?: 0) > limit) return refuseBody(ResultCode.BODY_TOO_LARGE)
-            if (bodyBytes + (length ?: 0) > MAXIMUM_TOTAL_BODY_BYTES) return refuseBody(ResultCode.OVERLOADED)
+            if (!hold(length ?: 0)) return refuseBody(ResultCode.OVERLOADED)
             val buffered = Buffer.buffer((length ?: 0L).toInt())
-            val isWithinLimit = CompletableDeferred<Boolean>()
+            val refusal = CompletableDeferred<ResultCode?>()
             request.handler { chunk ->
-                if (buffered.length() + chunk.length() > limit) isWithinLimit.complete(false) else buffered.appendBuffer(chunk)
+                val size = buffered.length() + chunk.length()
+                when {
+                    refusal.isCompleted -> Unit
+                    size > limit -> refusal.complete(ResultCode.BODY_TOO_LARGE)
+                    !hold(size - heldBytes) -> refusal.complete(ResultCode.OVERLOADED)
+                    else -> buffered.appendBuffer(chunk)
+                }
             }
-            request.endHandler { isWithinLimit.complete(true) }
+            request.endHandler { refusal.complete(null) }
             request.exceptionHandler { job.cancel() }
-            if (!isWithinLimit.await()) return refuseBody(ResultCode.BODY_TOO_LARGE)
-            bodyBytes += buffered.length()
-            return buffered.bytes
+            val code = refusal.await() ?: return buffered.bytes
+            return refuseBody(code)
+        }
+
+        /** Reserves memory for [more] bytes of this request's body; returns false when too much is reserved by all requests. */
+        private fun hold(more: Long): Boolean {
+            if (more <= 0) return true
+            if (bodyBytes + more > MAXIMUM_TOTAL_BODY_BYTES) return false
+            heldBytes += more
+            bodyBytes += more
+            return true
         }
 
         private suspend fun refuseBody(code: ResultCode): ByteArray? {
@@ -160,24 +193,37 @@
         }
 
         private suspend fun respond(reply: EdgeReply) {
-            if (response.closed()) return
+            if (response.closed()) {
+                reply.rest?.abandon()
+                return
+            }
             response.setStatusCode(reply.status).setStatusMessage(reply.reason)
             reply.headers.forEach { (name, value) -> response.headers().add(name, value) }
             val rest = reply.rest
             if (rest == null) return end(Buffer.buffer(reply.body))
             response.setChunked(true)
-            response.write(Buffer.buffer(reply.body)).coAwait()
             try {
-                while (true) response.write(Buffer.buffer(rest.read() ?: break)).coAwait()
+                response.write(Buffer.buffer(reply.body)).coAwait()
+                val isComplete = withTimeoutOrNull(streamingTimeLeft()) { stream(rest) } != null
+                if (isComplete) return end(Buffer.buffer())
+                log.info("response to request {} had not ended at the caller's deadline", request.getHeader(protocol.requestId))
             } catch (failure: OriginException) {
-                // The reset lets the caller tell a truncated response from a complete shorter one.
                 log.info("response to request {} was truncated: {}", request.getHeader(protocol.requestId), failure.message)
-                response.reset()
-                return
+            } finally {
+                rest.abandon()
             }
-            end(Buffer.buffer())
+            // The reset lets the caller tell a truncated response from a complete shorter one.
+            response.reset()
         }
 
+        private suspend fun stream(rest: OriginReply) {
+            while (true) response.write(Buffer.buffer(rest.read() ?: return)).coAwait()
+        }
+
+        /** A target may send without end; a caller that stated a deadline has left by then, and others have waited long enough. */
+        private fun streamingTimeLeft(): Duration =
+            ((deadline ?: DEFAULT_STREAMING_TIME) - (clock() - arrivedAt)).coerceAtLeast(MINIMUM_STREAMING_TIME)
+
         private suspend fun refuse(
             code: ResultCode,
             retryAfter: Duration?,
@@ -218,6 +264,12 @@
         /** The largest size of all request bodies together: a third of the heap. */
         const val MAXIMUM_TOTAL_BODY_BYTES = 33_554_432L
 
+        /** How long a large response may take for callers that state no deadline. */
+        val DEFAULT_STREAMING_TIME = 30.seconds
+
+        /** How long a large response may take at least once it has begun: answers that are ready are delivered, also late. */
+        val MINIMUM_STREAMING_TIME = 2.seconds
+
         /** The retry delay for callers that a leaving entry VM refuses: they may try another entry VM at once. */
         val LEAVING_RETRY_DELAY = 20.milliseconds
 
--- a/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/GatewayNode.kt
+++ b/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/GatewayNode.kt
@@ -18,6 +18,7 @@
 import dev.goldcrestquay.routing.ForwarderTables
 import dev.goldcrestquay.routing.ProbeBudget
 import dev.goldcrestquay.routing.RequestForwarder
+import dev.goldcrestquay.routing.RetryLimits
 import dev.goldcrestquay.routing.SplitChooser
 import dev.goldcrestquay.routing.TargetSampler
 import dev.goldcrestquay.routing.TargetTable
@@ -27,41 +28,49 @@
 import io.vertx.core.internal.ContextInternal
 import io.vertx.kotlin.coroutines.coAwait
 import io.vertx.kotlin.coroutines.dispatcher
+import kotlinx.coroutines.CoroutineExceptionHandler
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
+import kotlin.coroutines.CoroutineContext
 import kotlin.random.Random
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
 /**
- * The start-up settings of one [GatewayNode].
+ * The settings of one [GatewayNode]; those from [grace] on may change while it runs.
  *
  * @property self this entry VM as a member, not yet accepting callers.
- * @property seeds the peer addresses to contact first; some may be out of date.
  * @property readyAddress where the platform's readiness checks are served.
  * @property directoryAddress where callers look up the addresses of entry VMs.
  * @property isFirstStart whether the whole deployment starts for the first time.
+ * @property seeds the peer addresses to contact first; some may be out of date.
  * @property grace how long the process may go on running after it was asked to stop.
- * @property retryRatio the retries allowed per request within [retryWindow].
- * @property retrySlack the retries allowed beyond that within [retryWindow], shared by all entry VMs.
- * @property retryWindow the sliding window in which requests and retries are counted.
+ * @property retryLimits the limits on retries.
  * @property probesPerSecond the probes that one target may get a second, from all entry VMs together.
  */
-class GatewaySettings(
+data class GatewaySettings(
     val self: FleetMember,
-    val seeds: List<SocketAddress>,
     val readyAddress: SocketAddress,
     val directoryAddress: SocketAddress,
     val isFirstStart: Boolean,
+    val seeds: List<SocketAddress>,
     val grace: Duration,
-    val retryRatio: Double,
-    val retrySlack: Double,
-    val retryWindow: Duration,
+    val retryLimits: RetryLimits,
     val probesPerSecond: Double,
-)
+) {
+    /** Whether a process with these settings can go on with [other] without a restart. */
+    internal fun canChangeTo(other: GatewaySettings): Boolean =
+        other.copy(
+            isFirstStart = isFirstStart,
+            seeds = seeds,
+            grace = grace,
+            retryLimits = retryLimits,
+            probesPerSecond = probesPerSecond,
+        ) == this
+}
 
 /** The callbacks by which an entry VM reports decisions about requests, changes in the fleet, and its own start and stop. */
 class GatewayReports(
@@ -83,18 +92,18 @@
 class GatewayNode(
     private val vertx: Vertx,
     context: Context,
-    private val settings: GatewaySettings,
+    private var settings: GatewaySettings,
     protocol: TargetProtocol,
     store: (HttpCallClient) -> StoreLink,
     private val clock: Clock,
     private val reports: GatewayReports,
     random: Random = Random.Default,
 ) {
-    private val scope = CoroutineScope(context.dispatcher() + SupervisorJob())
+    private val scope = CoroutineScope(context.dispatcher() + SupervisorJob() + CoroutineExceptionHandler(::reportError))
     private val pool = OriginPool((context as ContextInternal).nettyEventLoop(), clock)
     private val callClient = HttpCallClient(pool)
     private val peers = PeerExchange(callClient, scope)
-    private val evidence = VersionEvidence()
+    private val evidence = VersionEvidence(clock)
     private val storeLink = store(callClient)
 
     /** The records of the store that this entry VM holds. */
@@ -109,7 +118,7 @@
     private val replicator =
         FleetReplicator(
             ReplicatorParts(state, members, storeReader, peers::ask, evidence, controller),
-            settings.seeds,
+            { settings.seeds },
             "${settings.self.name}/${settings.self.incarnation}",
             clock,
             settings.isFirstStart,
@@ -118,11 +127,9 @@
     private val coldTargetLimiter = ColdTargetLimiter(settings.self.name, clock) { settledMembers() }
     private val targetTable = TargetTable(state, settings.self.dataCentre, clock, random, coldTargetLimiter)
     private val retryBudget =
-        FleetRetryBudget(settings.retryRatio, settings.retrySlack, settings.retryWindow, clock) {
-            members.largestCount.takeIf { isSettled }
-        }
+        FleetRetryBudget({ settings.retryLimits }, clock) { members.largestCount.takeIf { isSettled } }
     private val targetExchange = TargetExchange(pool, protocol)
-    private val probeBudget = ProbeBudget(settings.probesPerSecond, clock) { members.largestCount.takeIf { isSettled } }
+    private val probeBudget = ProbeBudget({ settings.probesPerSecond }, clock) { members.largestCount.takeIf { isSettled } }
     private val sampler = TargetSampler(clock, random, scope, probeBudget, targetExchange::probe, pool::release)
     private val forwarderTables = ForwarderTables(state, targetTable, retryBudget, SplitChooser(random), evidence)
     private val forwarder = RequestForwarder<OriginConnection, EdgeReply>(forwarderTables, sampler, clock, random, reports.request)
@@ -145,6 +152,19 @@
         scope.launch { sweepPool() }
     }
 
+    /**
+     * Adopts [newSettings] as a whole; returns false and keeps the present ones when some of them need a restart, such as an address.
+     *
+     * Must be called on the event loop.
+     */
+    fun changeSettings(newSettings: GatewaySettings): Boolean {
+        if (newSettings == settings) return true
+        val canChange = settings.canChangeTo(newSettings)
+        if (canChange) settings = newSettings
+        reports.lifecycle(if (canChange) "settings changed" else "the changed settings need a restart and are not applied")
+        return canChange
+    }
+
     /** Serves [text] at [METRICS_PORT] under `/metrics`. */
     suspend fun serveMetrics(text: () -> String) {
         listen(settings.self.peerAddress.copy(port = METRICS_PORT)) { request ->
@@ -180,6 +200,13 @@
     /** The names of the live members, or none before [isSettled]. */
     private fun settledMembers(): List<String> = if (isSettled) members.alive.map { it.name } else emptyList()
 
+    private fun reportError(
+        @Suppress("unused") context: CoroutineContext,
+        error: Throwable,
+    ) {
+        reports.lifecycle("unexpected error: $error")
+    }
+
     private suspend fun sweepPool() {
         while (true) {
             pool.sweep()
--- a/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/HttpCallClient.kt
+++ b/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/HttpCallClient.kt
@@ -18,7 +18,11 @@
 class HttpCallClient internal constructor(
     private val pool: OriginPool,
 ) {
-    /** Sends one call and returns its response; throws [java.io.IOException] when no complete response arrives. */
+    /**
+     * Sends one call and returns its response.
+     *
+     * Throws [java.io.IOException] when no complete response of at most [MAXIMUM_RESPONSE_BYTES] arrives.
+     */
     suspend fun call(
         address: SocketAddress,
         method: String,
@@ -33,14 +37,29 @@
         if (method != "GET") request.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.size)
         val connection = pool.take(address)
         val reply = connection.send(request) { true }
-        val responseBody = reply.readToEnd()
+        val responseBody = reply.readToEnd(MAXIMUM_RESPONSE_BYTES)
         pool.release(connection)
         return CallResponse(reply.head.status().code(), responseBody)
     }
+
+    private companion object {
+        /** Several times a page of the store and the records of a large fleet, and a small part of the heap. */
+        const val MAXIMUM_RESPONSE_BYTES = 8_388_608
+    }
 }
 
-/** Reads the rest of a response's body; throws [OriginException] when the response is truncated. */
-internal suspend fun OriginReply.readToEnd(): ByteArray {
+/**
+ * Reads the rest of a response's body.
+ *
+ * Throws [OriginException] when the response is truncated, or longer than [limit] bytes: a faulty process may send without end. The
+ * connection is closed then.
+ */
+internal suspend fun OriginReply.readToEnd(limit: Int): ByteArray {
     val bytes = ByteArrayOutputStream()
-    while (true) bytes.write(read() ?: return bytes.toByteArray())
+    while (true) {
+        bytes.write(read() ?: return bytes.toByteArray())
+        if (bytes.size() <= limit) continue
+        abandon()
+        throw OriginException("the response is longer than $limit bytes")
+    }
 }
--- a/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/OriginConnection.kt
+++ b/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/OriginConnection.kt
@@ -36,6 +36,8 @@
 ) : ChannelInboundHandlerAdapter() {
     private var currentReply: OriginReply? = null
     private var isSkipping = false
+    private var skippedHeads = 0
+    private var skippedBytes = 0
     private var wasReset = false
     private var isClosed = false
 
@@ -57,6 +59,8 @@
         check(isUsable) { "the connection to $address is busy or closed" }
         val reply = OriginReply(this, accepts)
         currentReply = reply
+        skippedHeads = 0
+        skippedBytes = 0
         reply.writeFuture = channel.writeAndFlush(request)
         reply.writeFuture.addListener { if (!it.isSuccess) fail("the request could not be written: ${it.cause()?.message}") }
         try {
@@ -91,6 +95,7 @@
     }
 
     private fun read(message: HttpObject) {
+        if (isClosed) return
         if (message.decoderResult().isFailure) return fail("the response is not valid HTTP: ${message.decoderResult().cause().message}")
         if (message is HttpResponse) readHead(message)
         if (message is HttpContent) readContent(message)
@@ -100,17 +105,24 @@
         val reply = currentReply
         when {
             reply == null -> close()
-            head.status().codeClass() == HttpStatusClass.INFORMATIONAL -> isSkipping = true
-            !reply.accepts(head) -> isSkipping = true
+            head.status().codeClass() == HttpStatusClass.INFORMATIONAL || !reply.accepts(head) -> skip()
             else -> reply.onHead(head)
         }
     }
 
+    /** Begins to skip a response, unless too many were skipped already: a faulty process may send them without end. */
+    private fun skip() {
+        isSkipping = true
+        if (++skippedHeads > MAXIMUM_SKIPPED_HEADS) fail("more than $MAXIMUM_SKIPPED_HEADS responses that belong to no request")
+    }
+
     private fun readContent(content: HttpContent) {
         val isLast = content is LastHttpContent
         val reply = currentReply
         if (isSkipping || reply == null) {
             if (isLast) isSkipping = false
+            skippedBytes += content.content().readableBytes()
+            if (skippedBytes > MAXIMUM_SKIPPED_BYTES) fail("more than $MAXIMUM_SKIPPED_BYTES bytes that belong to no request")
             return
         }
         if (content.content().isReadable) reply.onChunk(content.content().retain())
@@ -141,6 +153,14 @@
         currentReply = null
         reply.onFailure(OriginException(message))
     }
+
+    private companion object {
+        /** A request gets a few informational responses and at most one late response to the request before it. */
+        const val MAXIMUM_SKIPPED_HEADS = 16
+
+        /** Larger than most responses; a larger late one costs the connection. */
+        const val MAXIMUM_SKIPPED_BYTES = 1_048_576
+    }
 }
 
 /**
--- a/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/PeerExchange.kt
+++ b/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/PeerExchange.kt
@@ -5,10 +5,9 @@
 import dev.goldcrestquay.machine.SocketAddress
 import io.vertx.core.buffer.Buffer
 import io.vertx.core.http.HttpServerRequest
-import io.vertx.kotlin.coroutines.coAwait
+import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.launch
-import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.Json
 import org.apache.logging.log4j.LogManager
 import java.io.ByteArrayOutputStream
@@ -32,7 +31,7 @@
             if (response.status == OK) json.decodeFromString(ExchangeReply.serializer(), decompress(response.body)) else null
         } catch (_: IOException) {
             null
-        } catch (exception: SerializationException) {
+        } catch (exception: IllegalArgumentException) {
             log.warn("unreadable exchange reply from peer {}: {}", address, exception.message)
             null
         }
@@ -49,18 +48,39 @@
         scope.launch {
             val status =
                 try {
-                    val exchangeRequest = json.decodeFromString(ExchangeRequest.serializer(), request.body().coAwait().toString())
+                    val exchangeRequest = json.decodeFromString(ExchangeRequest.serializer(), readBody(request).toString())
                     val reply = json.encodeToString(ExchangeReply.serializer(), answer(exchangeRequest))
                     request.response().putHeader("Content-Type", "application/json").end(Buffer.buffer(compress(reply)))
                     return@launch
-                } catch (exception: SerializationException) {
+                } catch (exception: IllegalArgumentException) {
                     log.warn("unreadable exchange request from a peer: {}", exception.message)
                     BAD_REQUEST
+                } catch (exception: IOException) {
+                    log.warn("broken exchange request from a peer: {}", exception.message)
+                    BAD_REQUEST
                 }
             request.response().setStatusCode(status).end()
         }
     }
 
+    /** The complete body of [request]; throws [IOException] when it breaks off or is larger than [MAXIMUM_BODY_BYTES]. */
+    private suspend fun readBody(request: HttpServerRequest): Buffer {
+        val buffered = Buffer.buffer()
+        val end = CompletableDeferred<Unit>()
+        request.handler { chunk ->
+            if (buffered.length() + chunk.length() <= MAXIMUM_BODY_BYTES) {
+                buffered.appendBuffer(chunk)
+            } else {
+                end.completeExceptionally(IOException("more than $MAXIMUM_BODY_BYTES bytes"))
+                request.connection().close()
+            }
+        }
+        request.endHandler { end.complete(Unit) }
+        request.exceptionHandler { end.completeExceptionally(IOException(it.message)) }
+        end.await()
+        return buffered
+    }
+
     /** Compresses large replies with gzip: a plan of hundreds of routes shrinks to a tenth of its size. */
     private fun compress(text: String): ByteArray {
         val uncompressed = text.encodeToByteArray()
@@ -72,13 +92,19 @@
 
     private fun decompress(bytes: ByteArray): String {
         val isCompressed = bytes.size > 1 && bytes[0] == GZIP_FIRST_BYTE
-        return if (isCompressed) GZIPInputStream(bytes.inputStream()).readBytes().decodeToString() else bytes.decodeToString()
+        if (!isCompressed) return bytes.decodeToString()
+        val uncompressed = GZIPInputStream(bytes.inputStream()).readNBytes(MAXIMUM_BODY_BYTES + 1)
+        if (uncompressed.size > MAXIMUM_BODY_BYTES) throw IOException("the reply unpacks to more than $MAXIMUM_BODY_BYTES bytes")
+        return uncompressed.decodeToString()
     }
 
     private companion object {
         /** Smaller replies gain nothing from compression. */
         const val COMPRESSION_THRESHOLD_BYTES = 1024
 
+        /** Several times the records of a large fleet, and a small part of the heap. */
+        const val MAXIMUM_BODY_BYTES = 8_388_608
+
         /** The first byte of every gzip stream; no JSON text begins with it. */
         const val GZIP_FIRST_BYTE: Byte = 0x1f
         const val PATH = "/exchange"
--- a/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/TargetExchange.kt
+++ b/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/TargetExchange.kt
@@ -14,9 +14,12 @@
 import io.netty.handler.codec.http.HttpMethod
 import io.netty.handler.codec.http.HttpResponse
 import io.netty.handler.codec.http.HttpVersion
+import kotlinx.coroutines.withTimeoutOrNull
+import org.apache.logging.log4j.LogManager
 import java.io.ByteArrayOutputStream
 import java.io.IOException
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
 /**
@@ -71,11 +74,23 @@
     /**
      * Probes [target] for its load; null when it does not respond or another process has taken its address.
      *
-     * Tries an idle connection first, and opens a new one when there is none or it can no longer be used.
+     * Tries an idle connection first, and opens a new one when there is none or it can no longer be used. A probe that takes longer
+     * than [PROBE_TIMEOUT] is given up and its connection closed, so that silent targets do not collect connections.
      */
     internal suspend fun probe(
         target: RegisteredTarget,
         service: PlannedService,
+    ): ProbeResult<OriginConnection>? =
+        try {
+            withTimeoutOrNull(PROBE_TIMEOUT) { probeOnce(target, service) }
+        } catch (exception: IllegalArgumentException) {
+            log.warn("target {} cannot be probed at {}{}: {}", target.id, target.address, service.healthPath, exception.message)
+            null
+        }
+
+    private suspend fun probeOnce(
+        target: RegisteredTarget,
+        service: PlannedService,
     ): ProbeResult<OriginConnection>? {
         val idle = pool.takeIdle(target.address)
         val probed = idle?.let { probeOver(it, target, service) }
@@ -99,7 +114,7 @@
         return try {
             // A health check response names no request; one that does is a late response to an earlier request.
             val reply = connection.send(request) { !it.headers().contains(protocol.requestId) }
-            reply.readToEnd()
+            reply.readToEnd(MAXIMUM_HEALTH_BYTES)
             val head = reply.head
             noteKeepAlive(target, head)
             val id = head.headers().get(protocol.targetId)
@@ -166,8 +181,7 @@
         val head = reply.head
         val status = head.status().code()
         if (head.headers().contains(protocol.notRun) || status == MISDIRECTED) {
-            reply.readToEnd()
-            pool.release(connection)
+            discardBody(reply, connection)
             return SendResult.Refused(if (status == MISDIRECTED) Refusal.DRAINING else Refusal.SHEDDING)
         }
         val isForeign = !head.headers().contains(protocol.responseSeal) || head.headers().contains(HttpHeaderNames.CONTENT_ENCODING)
@@ -182,6 +196,19 @@
         }
     }
 
+    /** Frees the connection of a refusal; its head tells all, so a body that is long, slow or truncated only costs the connection. */
+    private suspend fun discardBody(
+        reply: OriginReply,
+        connection: OriginConnection,
+    ) {
+        try {
+            withTimeoutOrNull(REFUSAL_BODY_TIMEOUT) { reply.readToEnd(MAXIMUM_HEALTH_BYTES) } ?: return connection.close()
+            pool.release(connection)
+        } catch (_: OriginException) {
+            connection.close()
+        }
+    }
+
     private suspend fun readBody(
         reply: OriginReply,
         connection: OriginConnection,
@@ -224,10 +251,21 @@
     }
 
     private companion object {
+        val log by lazy { LogManager.getLogger(TargetExchange::class.java) }
+
         const val OK = 200
         const val MISDIRECTED = 421
         const val FIRST_SERVER_ERROR = 500
 
+        /** A probe that is not answered by then says that the target is stuck or its machine is cut off. */
+        val PROBE_TIMEOUT = 500.milliseconds
+
+        /** The largest body of a health response or a refusal. */
+        const val MAXIMUM_HEALTH_BYTES = 65_536
+
+        /** How long the body of a refusal may take: the retry at another target waits for it. */
+        val REFUSAL_BODY_TIMEOUT = 50.milliseconds
+
         /**
          * Bodies up to this size are read completely before the caller gets any of them, so that a truncated one can still be
          * reported or retried.
--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/contract/RoutePlan.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/contract/RoutePlan.kt
@@ -15,6 +15,9 @@
 
     /** A request with a large body that must run at most once. */
     UPLOAD(false),
+
+    /** A lookup with a large response that may be sent to several targets. */
+    DOWNLOAD(true),
 }
 
 /** One destination of a route; it gets requests in proportion to its [weight]. */
@@ -31,7 +34,8 @@
  * @property timeout how long a request may wait for its answer, or null when only the request's own deadline counts.
  * @property latencyObjective the latency up to which an answer has its full value, or null.
  * @property priority the priority among routes; 0 is the highest.
- * @property destinations the services that share the requests; never empty.
+ * @property destinations the services that share the requests; empty when the operators' record of the route can't be read, so that
+ *   its requests are refused as not run.
  * @property maximumAttempts the number of targets that one request may be sent to.
  */
 @Serializable
--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/machine/FleetReplicator.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/machine/FleetReplicator.kt
@@ -2,13 +2,17 @@
 
 import dev.goldcrestquay.link.Clock
 import dev.goldcrestquay.move.RolloutController
+import dev.goldcrestquay.move.RolloutPhase
 import dev.goldcrestquay.move.VersionEvidence
+import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.cancelChildren
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.joinAll
 import kotlinx.coroutines.launch
+import kotlinx.coroutines.sync.Mutex
+import kotlinx.coroutines.sync.withLock
 import kotlinx.coroutines.withTimeoutOrNull
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -31,13 +35,13 @@
  * leaders at once only make more calls to the store, until one of them follows the other. While the store serves no entry VM, the
  * first few in that order keep trying it on behalf of all.
  *
- * @param seeds the peer addresses to contact first.
+ * @param seedAddresses the peer addresses to contact first.
  * @param process this entry VM's process, as `name/incarnation`.
  * @param isFirstStart whether the whole deployment starts for the first time.
  */
 public class FleetReplicator(
     private val parts: ReplicatorParts,
-    private val seeds: List<SocketAddress>,
+    private val seedAddresses: () -> List<SocketAddress>,
     private val process: String,
     private val clock: Clock,
     isFirstStart: Boolean = false,
@@ -45,11 +49,14 @@
 ) {
     private val state = parts.state
     private val members = parts.members
+    private val seeds get() = seedAddresses()
     private val selfAddress get() = members.self.peerAddress
     private val peers = PeerTable(clock)
     private val evidence = VersionCountTable(process, parts.evidence, members)
     private var changeSignal = CompletableDeferred<Unit>()
     private var signalledPosition = ReplicationPosition(process, 0, 0)
+    private var signalledPhases = mapOf<String, RolloutPhase>()
+    private val rolloutDecisions = Mutex()
     private var confirmations = 0L
     private var leaderCheckedAt = Duration.ZERO
     private var failedPolls = 0
@@ -65,12 +72,41 @@
     /** Loads the records once, so that this entry VM can serve before it knows its peers, then leads or follows until cancelled. */
     public suspend fun run() {
         start()
+        coroutineScope {
+            launch { watchShiftedRollouts() }
+            while (true) {
+                members.expire()
+                runStep { if (isLeader) lead() else follow() }
+            }
+        }
+    }
+
+    /** Runs one [step]; an unexpected error is reported and must not end the replication. */
+    private suspend fun runStep(step: suspend () -> Unit) {
+        try {
+            step()
+        } catch (exception: CancellationException) {
+            throw exception
+        } catch (exception: Exception) {
+            report(FleetEvent.StepFailed(exception.toString()))
+            delay(RETRY_PAUSE)
+        }
+    }
+
+    /** Judges rollouts more often than the leader polls the store while a version that may be bad gets all traffic. */
+    private suspend fun watchShiftedRollouts() {
         while (true) {
-            members.expire()
-            if (isLeader) lead() else follow()
+            delay(SHIFT_JUDGEMENT_INTERVAL)
+            if (!isLeader || !isShifting()) continue
+            runStep {
+                decideRollouts()
+                signal()
+            }
         }
     }
 
+    private fun isShifting(): Boolean = state.rollouts().values.any { it.phase == RolloutPhase.SHIFTED }
+
     /** Notifies peers without delay that this entry VM is leaving. */
     public suspend fun announceDeparture() {
         val source = leader?.takeIf { !isLeader }
@@ -98,6 +134,7 @@
             members = if (known?.membersVersion == members.version) null else members.changesAfter(known?.membersVersion),
             knowsObserved = members.hasReportFrom(request.sender.peerAddress),
             rollouts = state.rollouts().values.toList(),
+            completeThrough = Feed.entries.associateWith { state.completeThrough(it) },
         )
     }
 
@@ -111,12 +148,15 @@
         val until = clock() + seedTimeout
         var pause = START_PAUSE
         while (!state.isLoaded) {
-            if (askSeeds()) break
-            if (selfAddress in seeds || clock() >= until) {
-                if (parts.storeReader.load()) break
-                pause = (pause * 2).coerceAtMost(MAXIMUM_START_PAUSE)
+            runStep {
+                if (askSeeds()) return@runStep
+                if (selfAddress in seeds || clock() >= until) {
+                    if (parts.storeReader.load()) return@runStep
+                    pause = (pause * 2).coerceAtMost(MAXIMUM_START_PAUSE)
+                }
+                if (clock() >= until + STALE_START_TIMEOUT) state.acceptStaleLoad()
+                delay(pause)
             }
-            delay(pause)
         }
         signal()
     }
@@ -165,8 +205,10 @@
 
     private suspend fun decideRollouts() {
         if (state.orders().isEmpty()) return
-        val counts = evidence.countsOf(state.orders().keys).values.flatten()
-        parts.controller.step(counts, members.alive.size)
+        rolloutDecisions.withLock {
+            val counts = evidence.countsOf(state.orders().keys).values.flatten()
+            parts.controller.step(counts, members.alive.size)
+        }
     }
 
     /**
@@ -189,7 +231,7 @@
     private suspend fun follow() {
         val currentLeader = leader ?: return seekLeader()
         val source = sourceFor(currentLeader)
-        val reply = ask(source, HOLD)
+        val reply = ask(source, if (isShifting()) SHIFTING_HOLD else HOLD)
         when {
             reply == null -> {
                 peers.exclude(source, PEER_EXCLUSION)
@@ -319,10 +361,19 @@
             peer,
             PeerTable.Progress(reply.position, if (isLeader || !reply.knowsObserved) NO_VERSION else observedVersion),
         )
+        if (progress?.position?.process != reply.position.process) removeMissing(reply)
         applyReply(peer, reply, askedAt, confirmed = !isLeader && progress?.position?.confirmations != reply.position.confirmations)
         return reply
     }
 
+    /** Removes what the peer would hold if it had not been removed; [reply] has all records of the peer. */
+    private fun removeMissing(reply: ExchangeReply) {
+        reply.completeThrough.forEach { (feed, end) ->
+            val present = reply.records.filter { it.feed == feed }.mapTo(HashSet()) { it.key }
+            state.removals(feed, present, end).forEach { state.apply(it) }
+        }
+    }
+
     private fun applyReply(
         peer: SocketAddress,
         reply: ExchangeReply,
@@ -330,6 +381,7 @@
         confirmed: Boolean,
     ) {
         reply.records.forEach { state.apply(it) }
+        reply.completeThrough.forEach { (feed, end) -> state.markComplete(feed, end) }
         reply.ageMilliseconds?.let { state.confirm(askedAt + reply.heldMilliseconds.milliseconds - it.milliseconds) }
         if (!isLeader) {
             reply.members?.let { members.applyChanges(peer, it) }
@@ -338,12 +390,14 @@
         signal(confirmed)
     }
 
-    /** Releases held replies when there are changes, or when the records were [confirmed] to match the store. */
+    /** Releases held replies when records, members or rollouts changed, or when the records were [confirmed] to match the store. */
     private fun signal(confirmed: Boolean = false) {
         if (state.isLoaded) members.startAccepting()
         if (confirmed) confirmations++
         val current = position()
-        if (current == signalledPosition) return
+        val phases = state.rollouts().mapValues { it.value.phase }
+        if (current == signalledPosition && phases == signalledPhases) return
+        signalledPhases = phases
         val hasChanges = current.sequence != signalledPosition.sequence || current.membersVersion != signalledPosition.membersVersion
         signalledPosition = current
         if (hasChanges) report(FleetEvent.FactsChanged(state.sequence, state.routes?.plan?.version, state.targets().size))
@@ -364,11 +418,17 @@
         /** The longest time that a peer holds a reply without changes. A dead leader is detected after this plus [REPLY_MARGIN]. */
         val HOLD = 500.milliseconds
 
+        /** The same while a version that may be bad gets all traffic, so that the leader soon has the evidence of all members. */
+        val SHIFTING_HOLD = 250.milliseconds
+
+        /** How often the leader judges rollouts during that time. */
+        val SHIFT_JUDGEMENT_INTERVAL = 150.milliseconds
+
         /** The timeout of a request beyond its hold: round trips, and a machine that is busy for a moment. */
         val REPLY_MARGIN = 250.milliseconds
 
-        /** A peer with records younger than this may be followed; a leader's own records are at most as old as one poll and one call. */
-        val FRESH_AGE = 1700.milliseconds
+        /** A peer with records younger than this may be followed. */
+        val FRESH_AGE = SharedState.FRESH_AGE
 
         /** A leader whose records are older than this steps down, so that another entry VM can try the store. */
         val STEP_DOWN_AGE = 1500.milliseconds
@@ -406,6 +466,13 @@
         /** The same at the deployment's first start: no traffic waits yet, and some machines start a third of a second later. */
         val FIRST_START_SEED_TIMEOUT = 1.seconds
 
+        /**
+         * How long after that a starting entry VM goes on looking for fresh records before it serves by stale ones.
+         *
+         * The peers of a reachable leader have fresh ones; without any, stale records serve callers better than none.
+         */
+        val STALE_START_TIMEOUT = 1500.milliseconds
+
         val START_PAUSE = 25.milliseconds
 
         /** The longest pause between a starting entry VM's attempts to load while the store is unavailable. */
--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/machine/SharedState.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/machine/SharedState.kt
@@ -8,6 +8,7 @@
 import dev.goldcrestquay.move.RolloutVerdict
 import kotlinx.coroutines.CompletableDeferred
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
 
 /**
  * The records of the platform's store that one entry VM holds, merged from its own reads and from peers.
@@ -27,6 +28,8 @@
     )
 
     private val held = LinkedHashMap<Pair<Feed, String>, HeldRecord>()
+    private val completeThrough = HashMap<Feed, Long>()
+    private var acceptsStaleLoad = false
     private val versionFirstSeen = HashMap<Pair<String, String>, Duration>()
     private var loadedAt: Duration? = null
 
@@ -60,10 +63,32 @@
     /** Notes that the records held matched the store at [time]. */
     public fun confirm(time: Duration) {
         if (time > (confirmedAt ?: -Duration.INFINITE)) confirmedAt = time
-        if (loadedAt == null && routes != null) {
-            loadedAt = clock()
-            loaded.complete(Unit)
-        }
+        completeLoad()
+    }
+
+    /** Lets the records held count as loaded whatever their age, for a start while nobody has fresh ones. */
+    public fun acceptStaleLoad() {
+        acceptsStaleLoad = true
+        completeLoad()
+    }
+
+    /** Stale records could bring back what has been withdrawn before this process started, so they do not count as loaded at first. */
+    private fun completeLoad() {
+        if (loadedAt != null || routes == null || confirmedAt == null) return
+        if (age() >= FRESH_AGE && !acceptsStaleLoad) return
+        loadedAt = clock()
+        loaded.complete(Unit)
+    }
+
+    /** The offset up to which all records of [feed] are known here, or 0. */
+    public fun completeThrough(feed: Feed): Long = completeThrough[feed] ?: 0
+
+    /** Notes that all records of [feed] before the offset [end] were applied. */
+    public fun markComplete(
+        feed: Feed,
+        end: Long,
+    ) {
+        completeThrough.merge(feed, end, ::maxOf)
     }
 
     /** Applies [record] if it is newer than the one held; returns false too if only the heartbeat number is new. */
@@ -71,6 +96,8 @@
         val id = record.feed to record.key
         val known = held[id]
         if (known != null && known.record.offset >= record.offset) return false
+        // Unknown here although all records up to a later offset are known: a peer with an outdated copy still holds what was removed.
+        if (known == null && record.offset < completeThrough(record.feed)) return false
         if (record is PlanRecord && record.plan.version <= (routes?.plan?.version ?: -1)) return false
         val knownTarget = (known?.record as? TargetRecord)?.target
         val target = (record as? TargetRecord)?.target
@@ -197,6 +224,11 @@
         val loaded = loadedAt ?: return null
         return seen.takeIf { it > loaded }
     }
+
+    internal companion object {
+        /** Records younger than this are fresh; a leader's own records are at most as old as one poll and one call. */
+        val FRESH_AGE = 1700.milliseconds
+    }
 }
 
 /** A registered target and when this entry VM last received a change of it. */
--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/machine/StoreReader.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/machine/StoreReader.kt
@@ -70,6 +70,7 @@
             is StoreResult.Done -> {
                 recordSuccess()
                 result.value.records.forEach { applyOrDefer(it) }
+                state.markComplete(feed, result.value.end)
                 positions[feed] = result.value.end
                 confirmFeed(feed, if (result.value.records.isEmpty()) clock() - REPLY_LATENCY else askedAt)
                 true
@@ -86,6 +87,7 @@
         recordSuccess()
         result.value.records.forEach { applyOrDefer(it) }
         state.removals(feed, result.value.records.mapTo(HashSet()) { it.key }, result.value.end).forEach { applyOrDefer(it) }
+        state.markComplete(feed, result.value.end)
         positions[feed] = result.value.end
         confirmFeed(feed, askedAt)
         report(FleetEvent.Loaded(feed, result.value.records.size, result.value.end))
@@ -194,6 +196,11 @@
         val peer: String,
     ) : FleetEvent
 
+    /** A step of the replication ended with an unexpected error; it is repeated. */
+    public data class StepFailed(
+        val reason: String,
+    ) : FleetEvent
+
     /** Records or the member list changed. */
     public data class FactsChanged(
         val sequence: Long,
--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/move/RolloutController.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/move/RolloutController.kt
@@ -6,6 +6,7 @@
 import dev.goldcrestquay.machine.FleetEvent
 import dev.goldcrestquay.machine.SharedState
 import dev.goldcrestquay.machine.VerdictRecord
+import kotlin.math.sqrt
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
@@ -147,7 +148,7 @@
 /** A version is rolled back when it has more than this many failures beyond those that the old version's failure rate explains. */
 private const val TOLERATED_EXCESS_FAILURES = 6.0
 
-/** A version is rolled back when, on a route, its successful answers take more than this many times as long as the old version's. */
+/** A version is rolled back when, on a route, its mean latency is more than this many times the old version's. */
 private const val TOLERATED_LATENCY_RATIO = 2.5
 
 /** The number of successful answers that each version needs on a route before latencies are compared. */
@@ -182,18 +183,66 @@
     if (failed > TOLERATED_EXCESS_FAILURES + OLD_FAILURE_RATE_FACTOR * oldFailureRate * answered) {
         return "$failed of $answered answers failed; the old version's failure rate is $oldFailureRate"
     }
-    for (newCount in newCounts.filter { it.succeeded >= MINIMUM_COMPARED_ANSWERS }) {
-        val oldCount =
-            oldCounts
-                .filter { it.route == newCount.route }
-                .reduceOrNull(VersionCount::plus)
-                ?.takeIf { it.succeeded >= MINIMUM_COMPARED_ANSWERS }
-                ?: continue
-        val latencyRatio = (newCount.milliseconds / newCount.succeeded) / (oldCount.milliseconds / oldCount.succeeded)
-        if (latencyRatio > TOLERATED_LATENCY_RATIO) return "latency on ${newCount.route} is $latencyRatio times the old version's"
+    val comparisons =
+        newCounts.mapNotNull { newCount ->
+            val oldCount = oldCounts.filter { it.route == newCount.route }.reduceOrNull(VersionCount::plus)
+            oldCount?.takeIf { it.succeeded >= MINIMUM_COMPARED_ANSWERS }?.let { RouteComparison(newCount, it) }
+        }
+    return comparisons.firstNotNullOfOrNull { it.slowerMean() } ?: manySlowAnswers(comparisons)
+}
+
+/** The answers of the new version on one route, and those of all other versions on it. */
+private class RouteComparison(
+    private val newCount: VersionCount,
+    private val oldCount: VersionCount,
+) {
+    private val oldMean = checkNotNull(oldCount.meanLatency)
+
+    val observed: Long get() = newCount.observed
+    val slow: Long get() = newCount.slowerThan(oldMean * SLOW_ANSWER_FACTOR)
+
+    /** The number of slow answers if the new version were like the old one. */
+    val expectedSlow: Double
+        get() = oldCount.slowerThan(oldMean * SLOW_ANSWER_FACTOR).toDouble() / oldCount.observed.coerceAtLeast(1) * newCount.observed
+
+    /** Says that the new version's mean latency is too long, or returns null. */
+    fun slowerMean(): String? {
+        val ratio = (newCount.meanLatency ?: return null) / oldMean
+        if (newCount.succeeded < MINIMUM_COMPARED_ANSWERS || ratio <= TOLERATED_LATENCY_RATIO) return null
+        return "latency on ${newCount.route} is $ratio times the old version's"
     }
-    return null
 }
 
+/**
+ * Says that too many answers of the new version are slow, or returns null.
+ *
+ * A version that slows only a part of its requests shows this before it shows in the mean, and requests that time out or are still in
+ * flight count too. The tolerance grows with the spread of the number expected by chance.
+ */
+private fun manySlowAnswers(comparisons: List<RouteComparison>): String? {
+    val observed = comparisons.sumOf { it.observed }
+    val slow = comparisons.sumOf { it.slow }
+    val expected = comparisons.sumOf { it.expectedSlow }
+    val tolerated = expected * TOLERATED_SLOW_RATIO
+    if (slow <= tolerated + TOLERATED_DEVIATIONS * sqrt(tolerated) + TOLERATED_EXCESS_SLOW) return null
+    if (slow - expected <= TOLERATED_SLOW_SHARE * observed) return null
+    return "$slow of $observed answers are slow, where ${expected.toInt()} would be like the old version's"
+}
+
+/** An answer is slow when it takes more than this many times as long as the old version's mean on the route. */
+private const val SLOW_ANSWER_FACTOR = 2.5
+
+/** How many times as many slow answers as the old version's a new one may have: its fewer targets leave less choice. */
+private const val TOLERATED_SLOW_RATIO = 1.5
+
+/** How many standard deviations of the tolerated number of slow answers are put down to chance. */
+private const val TOLERATED_DEVIATIONS = 2.5
+
+/** The number of slow answers beyond that which is put down to chance, while few answers are known. */
+private const val TOLERATED_EXCESS_SLOW = 4.0
+
+/** The share of additional slow answers that is no reason to roll back. */
+private const val TOLERATED_SLOW_SHARE = 0.15
+
 /** Allows twice the old version's failure rate: faults that hit both versions do not count against the new one, and small samples vary. */
 private const val OLD_FAILURE_RATE_FACTOR = 2.0
--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/move/VersionEvidence.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/move/VersionEvidence.kt
@@ -1,16 +1,21 @@
 package dev.goldcrestquay.move
 
+import dev.goldcrestquay.link.Clock
 import dev.goldcrestquay.machine.RegisteredTarget
 import kotlinx.serialization.Serializable
+import kotlin.math.floor
+import kotlin.math.log2
+import kotlin.math.pow
 import kotlin.time.Duration
 import kotlin.time.DurationUnit
 
 /**
- * The answers that one entry VM counted for one version on one route since the entry VM started; the counters never decrease.
+ * The answers that one entry VM counted for one version on one route since the entry VM started.
  *
  * @property answered the number of requests, failed ones included.
  * @property failed the number of requests that were answered with a failure or not at all.
  * @property milliseconds the total latency of the successful answers.
+ * @property latencies the number of requests by [latencyBucket]; failed ones are included, and those in flight by their time so far.
  */
 @Serializable
 public data class VersionCount(
@@ -20,40 +25,107 @@
     val answered: Long,
     val failed: Long,
     val milliseconds: Double,
+    val latencies: Map<Int, Long> = emptyMap(),
 ) {
     /** The number of successful answers. */
     public val succeeded: Long get() = answered - failed
 
+    /** The mean latency of the successful answers in milliseconds, or null when there is none. */
+    public val meanLatency: Double? get() = if (succeeded > 0) milliseconds / succeeded else null
+
+    /** The number of requests, those in flight included. */
+    public val observed: Long get() = latencies.values.sum()
+
+    /** The number of requests that took, or have been waiting for, longer than [milliseconds]; slightly longer ones may be left out. */
+    public fun slowerThan(milliseconds: Double): Long =
+        latencies.entries.filter { (bucket, _) -> bucketStart(bucket) >= milliseconds }.sumOf { it.value }
+
     /** Adds the counters of [other]. */
     public operator fun plus(other: VersionCount): VersionCount =
-        copy(answered = answered + other.answered, failed = failed + other.failed, milliseconds = milliseconds + other.milliseconds)
+        copy(
+            answered = answered + other.answered,
+            failed = failed + other.failed,
+            milliseconds = milliseconds + other.milliseconds,
+            latencies = (latencies.keys + other.latencies.keys).associateWith { (latencies[it] ?: 0) + (other.latencies[it] ?: 0) },
+        )
 }
 
+/** The number of a latency's bucket; two buckets double the latency. */
+internal fun latencyBucket(milliseconds: Double): Int = floor(BUCKETS_PER_DOUBLING * log2(milliseconds.coerceAtLeast(1.0))).toInt()
+
+private fun bucketStart(bucket: Int): Double = 2.0.pow(bucket / BUCKETS_PER_DOUBLING)
+
+private const val BUCKETS_PER_DOUBLING = 2.0
+
 /**
  * Counts this entry VM's answers by service, version and route, as evidence for rollouts on the platform; not thread-safe.
  *
  * `VersionCountTable` adds the counts of the other entry VMs. Moves have a [MoveEvidenceTable], which counts by target.
  */
-public class VersionEvidence {
-    private val counts = HashMap<Triple<String, String, String>, VersionCount>()
+public class VersionEvidence(
+    private val clock: Clock,
+) {
+    private data class Key(
+        val service: String,
+        val version: String,
+        val route: String,
+    )
 
-    /** Counts one answer of [target], or its absence when [failed]; [took] is the latency. */
-    public fun recordAnswer(
+    private class Pending(
+        val key: Key,
+        val sentAt: Duration,
+    )
+
+    private val counts = HashMap<Key, VersionCount>()
+    private val pending = HashMap<Long, Pending>()
+    private var nextTicket = 0L
+
+    /** Records a request sent to [target]; returns a ticket that identifies it. */
+    public fun recordSend(
         target: RegisteredTarget,
         route: String,
+    ): Long {
+        val ticket = nextTicket++
+        pending[ticket] = Pending(Key(target.service, target.version, route), clock())
+        return ticket
+    }
+
+    /** Counts the answer to a request, or its absence when [failed]. */
+    public fun recordAnswer(
+        ticket: Long,
         failed: Boolean,
-        took: Duration,
     ) {
-        val key = Triple(target.service, target.version, route)
-        val known = counts[key] ?: VersionCount(target.service, target.version, route, 0, 0, 0.0)
-        counts[key] =
+        val request = pending.remove(ticket) ?: return
+        val known = countOf(request.key)
+        val took = (clock() - request.sentAt).toDouble(DurationUnit.MILLISECONDS)
+        counts[request.key] =
             known.copy(
                 answered = known.answered + 1,
                 failed = known.failed + if (failed) 1 else 0,
-                milliseconds = known.milliseconds + if (failed) 0.0 else took.toDouble(DurationUnit.MILLISECONDS),
+                milliseconds = known.milliseconds + if (failed) 0.0 else took,
+                latencies = known.latencies.increment(latencyBucket(took)),
             )
     }
 
+    /** Records the end of a request that says nothing about its version, such as one whose caller left or that was not run. */
+    public fun recordInconclusive(ticket: Long) {
+        pending.remove(ticket)
+    }
+
     /** The counters of the services in [services]. */
-    public fun countsOf(services: Set<String>): List<VersionCount> = counts.values.filter { it.service in services }
+    public fun countsOf(services: Set<String>): List<VersionCount> {
+        val now = clock()
+        val result = HashMap(counts.filterKeys { it.service in services })
+        for (request in pending.values) {
+            if (request.key.service !in services) continue
+            val waited = (now - request.sentAt).toDouble(DurationUnit.MILLISECONDS)
+            val known = result[request.key] ?: countOf(request.key)
+            result[request.key] = known.copy(latencies = known.latencies.increment(latencyBucket(waited)))
+        }
+        return result.values.toList()
+    }
+
+    private fun Map<Int, Long>.increment(bucket: Int): Map<Int, Long> = this + (bucket to (this[bucket] ?: 0) + 1)
+
+    private fun countOf(key: Key): VersionCount = counts[key] ?: VersionCount(key.service, key.version, key.route, 0, 0, 0.0)
 }
--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/routing/ProbeBudget.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/routing/ProbeBudget.kt
@@ -13,7 +13,7 @@
  * @property members the number of entry VMs that share this rate, or null while it is not known.
  */
 public class ProbeBudget(
-    private val perTarget: Double,
+    private val perTarget: () -> Double,
     private val clock: Clock,
     private val members: () -> Int?,
 ) {
@@ -42,7 +42,7 @@
         targets: Int,
     ): Double = refilledBucket(service, targets).tokens / (rate(targets) * BUCKET_SECONDS)
 
-    private fun rate(targets: Int): Double = perTarget * USED_SHARE * targets / (members() ?: ASSUMED_MEMBERS)
+    private fun rate(targets: Int): Double = perTarget() * USED_SHARE * targets / (members() ?: ASSUMED_MEMBERS)
 
     private fun refilledBucket(
         service: String,
--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/routing/RequestForwarder.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/routing/RequestForwarder.kt
@@ -45,7 +45,7 @@
         if (!tables.state.isLoaded) withTimeoutOrNull(INITIAL_STATE_TIMEOUT) { tables.state.awaitLoad() }
         val routes = tables.state.routes ?: return reportOutcome(request, null, null, notRun(ResultCode.NOT_READY))
         val route = routes.find(request.host, request.path) ?: return reportOutcome(request, null, null, notRun(ResultCode.NO_ROUTE))
-        val serviceName = tables.splits.choose(route)
+        val serviceName = tables.splits.choose(route) ?: return reportOutcome(request, route, null, notRun(ResultCode.NO_TARGET))
         tables.budget.recordRequest(serviceName)
         val service = routes.service(serviceName)
         val outcome = if (service == null) notRun(ResultCode.NO_TARGET) else ForwardingRun(request, route, service).run()
@@ -144,7 +144,7 @@
             val health = chosen.candidate.health
             tried += target.id
             tables.targets.recordSend(chosen.candidate)
-            val ticket = health.recordSend(expected)
+            val tickets = Tickets(health.recordSend(expected), tables.evidence.recordSend(target, route.name))
             val started = clock()
             val left = remaining
             report(sentEvent(number, chosen, left))
@@ -155,35 +155,38 @@
                     ?: SendResult.Broken(ResultCode.DEADLINE_EXCEEDED)
             } finally {
                 request.isCancellable = true
-                if (result == null) health.recordInconclusive(ticket)
+                if (result == null) {
+                    health.recordInconclusive(tickets.health)
+                    tables.evidence.recordInconclusive(tickets.evidence)
+                }
             }
             val took = clock() - started
             report(ForwardEvent.AttemptEnded(request.id, target, resultName(result), took))
-            recordResult(chosen, ticket, result, took)
+            recordResult(chosen, tickets, result, took)
             return outcomeOf(target, result)
         }
 
         private fun recordResult(
             chosen: ChosenTarget<Connection>,
-            ticket: Long,
+            tickets: Tickets,
             result: SendResult<Reply>,
             took: Duration,
         ) {
             val health = chosen.candidate.health
-            val target = chosen.candidate.target
             when (result) {
                 is SendResult.Replied -> {
-                    if (result.failed) health.recordFailure(ticket) else health.recordSuccess(ticket)
+                    if (result.failed) health.recordFailure(tickets.health) else health.recordSuccess(tickets.health)
                     if (!result.failed) recordServiceTime(route.name, took / chosen.expectedFactor.coerceAtLeast(1.0))
-                    tables.evidence.recordAnswer(target, route.name, result.failed, took)
+                    tables.evidence.recordAnswer(tickets.evidence, result.failed)
                 }
                 is SendResult.Refused -> {
-                    health.recordShed(ticket)
+                    health.recordShed(tickets.health)
+                    tables.evidence.recordInconclusive(tickets.evidence)
                     if (result.refusal != Refusal.SHEDDING) health.recordUnreachable()
                 }
                 is SendResult.Broken -> {
-                    health.recordFailure(ticket)
-                    tables.evidence.recordAnswer(target, route.name, true, took)
+                    health.recordFailure(tickets.health)
+                    tables.evidence.recordAnswer(tickets.evidence, failed = true)
                 }
             }
         }
@@ -234,6 +237,12 @@
         serviceTimes[route] = serviceTime(route) * (1 - SERVICE_TIME_SMOOTHING) + took * SERVICE_TIME_SMOOTHING
     }
 
+    /** Identifies one attempt in the health of its target and in the evidence of its version. */
+    private class Tickets(
+        val health: Long,
+        val evidence: Long,
+    )
+
     private class SendOutcome<Reply>(
         val outcome: ForwardOutcome<Reply>,
         val mayRetry: Boolean,
--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/routing/SplitChooser.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/routing/SplitChooser.kt
@@ -14,10 +14,10 @@
 ) {
     private val credits = HashMap<PlannedRoute, DoubleArray>()
 
-    /** Returns the service for the next request on [route]. */
-    public fun choose(route: PlannedRoute): String {
+    /** Returns the service for the next request on [route], or null when the route has no destination. */
+    public fun choose(route: PlannedRoute): String? {
         val destinations = route.destinations
-        if (destinations.size == 1) return destinations.single().service
+        if (destinations.size <= 1) return destinations.firstOrNull()?.service
         val total = destinations.sumOf { it.weight }
         if (credits.size > MAXIMUM_ROUTES) credits.clear()
         val credit = credits.getOrPut(route) { DoubleArray(destinations.size) { random.nextDouble() * total } }
--- a/goldcrestquay/src/test/kotlin/dev/goldcrestquay/machine/FakeFleet.kt
+++ b/goldcrestquay/src/test/kotlin/dev/goldcrestquay/machine/FakeFleet.kt
@@ -23,6 +23,7 @@
     class Node(
         val state: SharedState,
         val members: FleetMembers,
+        val evidence: VersionEvidence,
         val replicator: FleetReplicator,
     ) {
         lateinit var job: Job
@@ -55,18 +56,19 @@
         val link = store.link(self.name)
         val storeReader = StoreReader(link, state, clock) { }
         val controller = RolloutController(state, link, { storeReader.verdictsEndOffset }, { storeReader.readVerdicts() }, clock) { }
+        val evidence = VersionEvidence(clock)
         val parts =
             ReplicatorParts(
                 state,
                 members,
                 storeReader,
                 { peer, request -> exchange(self.peerAddress, peer, request) },
-                VersionEvidence(),
+                evidence,
                 controller,
             )
         val seedAddresses = seeds.map { member(it).peerAddress }
-        val replicator = FleetReplicator(parts, seedAddresses, "${self.name}/$incarnation", clock, isFirstStart) { }
-        val node = Node(state, members, replicator)
+        val replicator = FleetReplicator(parts, { seedAddresses }, "${self.name}/$incarnation", clock, isFirstStart) { }
+        val node = Node(state, members, evidence, replicator)
         nodes[self.peerAddress] = node
         node.job = scope.backgroundScope.launch { replicator.run() }
         return node
--- a/goldcrestquay/src/test/kotlin/dev/goldcrestquay/machine/FleetReplicatorTest.kt
+++ b/goldcrestquay/src/test/kotlin/dev/goldcrestquay/machine/FleetReplicatorTest.kt
@@ -1,5 +1,8 @@
 package dev.goldcrestquay.machine
 
+import dev.goldcrestquay.fleetMember
+import dev.goldcrestquay.move.RolloutOrder
+import dev.goldcrestquay.move.RolloutPhase
 import dev.goldcrestquay.planRecord
 import dev.goldcrestquay.registeredTarget
 import dev.goldcrestquay.targetRecord
@@ -310,4 +313,92 @@
             delay(4.seconds)
             fleet.running.map { it.members.alive.size }.toSet() shouldBe setOf(fleet.running.size)
         }
+
+    @Test
+    fun `a version that fails once it gets all traffic is stopped on every entry VM within 700 milliseconds`() =
+        runTest {
+            val fleet = FakeFleet(this, store, dataCentres = 5).also { fleet -> (1..40).forEach { fleet.start(it) } }
+            store.write(Feed.TARGETS) { targetRecord(registeredTarget("new", version = "v2"), it) }
+            delay(5.seconds)
+            store.write(Feed.OPERATOR) { RolloutRecord("rollout/shop", it, "shop", RolloutOrder("shop", "v2", 10.seconds)) }
+            delay(1.seconds)
+            fleet.running.forEach { it.recordAnswers(failed = false) }
+            while (fleet.phases() != setOf(RolloutPhase.SHIFTED)) delay(10.milliseconds)
+            repeat(2) { fleet.running.forEach { it.recordAnswers(failed = true) } }
+            delay(700.milliseconds)
+            fleet.phases() shouldBe setOf(RolloutPhase.ROLLED_BACK)
+        }
+
+    /** Cuts the entry VM with [number] off from the store and from all others but those in [reachable]. */
+    private fun FakeFleet.isolate(
+        number: Int,
+        reachable: Set<Int> = emptySet(),
+    ) {
+        val isolated = fleetMember(number)
+        val allowed = reachable.mapTo(HashSet()) { fleetMember(it).peerAddress } + isolated.peerAddress
+        connected = { from, to -> isolated.peerAddress !in setOf(from, to) || (from in allowed && to in allowed) }
+        store.access = { if (it == isolated.name) Access.SILENT else Access.SERVED }
+    }
+
+    @Test
+    fun `a target that left is not used again after restarts, though an isolated peer still holds it`() =
+        runTest {
+            store.write(Feed.TARGETS) { targetRecord(registeredTarget("left"), it) }
+            val fleet = fleet(5)
+            delay(5.seconds)
+            fleet.isolate(1)
+            store.write(Feed.TARGETS) { TargetRecord("left", it, null) }
+            (2..5).forEach { number -> fleet.kill(fleet.running.first { it.members.self.name == "vm-$number" }) }
+            (2..5).forEach { fleet.start(it, incarnation = 2) }
+            delay(5.seconds)
+            fleet.isolate(1, reachable = setOf(5))
+            fleet.kill(fleet.running.first { it.members.self.name == "vm-5" })
+            val restarted = fleet.start(5, incarnation = 3)
+            repeat(30) {
+                delay(100.milliseconds)
+                if (restarted.state.isLoaded) restarted.state.targets() shouldHaveSize 0
+            }
+            restarted.state.isLoaded shouldBe true
+        }
+
+    @Test
+    fun `a restarted entry VM does not serve by the plan of an isolated peer while the store answers slowly`() =
+        runTest {
+            val fleet = fleet(1)
+            delay(5.seconds)
+            fleet.isolate(1, reachable = setOf(2))
+            store.write(Feed.OPERATOR) { planRecord(2, it) }
+            delay(5.seconds)
+            store.callTime = 400.milliseconds
+            val restarted = fleet.start(2, incarnation = 2)
+            while (!restarted.state.isLoaded) delay(10.milliseconds)
+            restarted.state.routes
+                ?.plan
+                ?.version shouldBe 2
+        }
+
+    @Test
+    fun `an entry VM that starts while nobody reaches the store serves by the records of its peers`() =
+        runTest {
+            val fleet = fleet(3)
+            delay(5.seconds)
+            store.access = { Access.SILENT }
+            delay(5.seconds)
+            val started = fleet.start(4)
+            delay(3.seconds)
+            started.state.isLoaded shouldBe true
+        }
+
+    private fun FakeFleet.phases() =
+        running.mapTo(HashSet()) {
+            it.state
+                .rollouts()
+                .values
+                .single()
+                .phase
+        }
+
+    private fun FakeFleet.Node.recordAnswers(failed: Boolean) {
+        evidence.recordAnswer(evidence.recordSend(registeredTarget("new", version = "v2"), "lookup"), failed)
+    }
 }
--- a/goldcrestquay/src/test/kotlin/dev/goldcrestquay/move/RolloutTest.kt
+++ b/goldcrestquay/src/test/kotlin/dev/goldcrestquay/move/RolloutTest.kt
@@ -26,7 +26,7 @@
         failed: Long = 0,
         mean: Double = 160.0,
         route: String = "r",
-    ) = VersionCount("shop", version, route, answered, failed, (answered - failed) * mean)
+    ) = VersionCount("shop", version, route, answered, failed, (answered - failed) * mean, mapOf(latencyBucket(mean) to answered))
 
     private fun view(
         vararg counts: VersionCount,
@@ -55,6 +55,88 @@
         ).forEach { (view, phase) -> withClue(view) { judgeRollout(view)?.phase shouldBe phase } }
     }
 
+    /**
+     * The load pattern of a bad version that slows one route eightfold, only under load: its trial looks well, and after the shift its
+     * slow answers arrive later than the version must have been rolled back.
+     */
+    @Test
+    fun `a version that turns slow when it gets all traffic is rolled back before its first slow answer`() {
+        var now = Duration.ZERO
+        val evidence = VersionEvidence { now }
+
+        fun answered(
+            version: String,
+            count: Int,
+        ) = repeat(count) {
+            val ticket = evidence.recordSend(registeredTarget("t-$version", version = version), "lookup")
+            now += 270.milliseconds
+            evidence.recordAnswer(ticket, failed = false)
+        }
+        answered("v1", 100)
+        answered("v2", 20)
+        val shiftedAt = now
+
+        fun verdict() =
+            judgeRollout(view(*evidence.countsOf(setOf("shop")).toTypedArray(), phase = RolloutPhase.SHIFTED, timeSinceOrder = 8.seconds))
+        verdict() shouldBe null
+        while (verdict()?.phase != RolloutPhase.ROLLED_BACK) {
+            evidence.recordSend(registeredTarget("t-v2", version = "v2"), "lookup")
+            now += 20.milliseconds
+        }
+        (now - shiftedAt < 1.seconds) shouldBe true
+    }
+
+    /** The latencies of lookups in a trial that replay `mix --seed 479389804463` of the deployment `qtc-gateway` showed. */
+    @Test
+    fun `a version that slows every other answer or lets it time out is rolled back in its trial`() {
+        var now = Duration.ZERO
+        val evidence = VersionEvidence { now }
+
+        fun record(
+            version: String,
+            milliseconds: Int,
+        ) {
+            val ticket = evidence.recordSend(registeredTarget("t-$version", version = version), "lookup")
+            now += milliseconds.milliseconds
+            evidence.recordAnswer(ticket, failed = milliseconds > 1480)
+        }
+        repeat(300) { record("v1", if (it % 25 == 0) 900 else 140 + it % 100) }
+        val trial =
+            listOf(221, 941, 142, 216, 186, 1096, 916, 1452, 298, 1010, 111, 153, 122, 141, 916, 204, 1220, 1171, 779, 137, 133, 1496)
+        var answers = 0
+        while (answers < trial.size && judgeRollout(view(*evidence.countsOf(setOf("shop")).toTypedArray())) == null) {
+            record("v2", trial[answers++])
+        }
+        judgeRollout(view(*evidence.countsOf(setOf("shop")).toTypedArray()))?.phase shouldBe RolloutPhase.ROLLED_BACK
+        (answers < trial.size) shouldBe true
+    }
+
+    @Test
+    fun `a version that answers as fast as the old one is not rolled back when it gets all traffic`() {
+        var now = Duration.ZERO
+        val evidence = VersionEvidence { now }
+        val pending = ArrayDeque<Pair<Duration, Long>>()
+        repeat(300) { request ->
+            val version =
+                if (request < 180) {
+                    if (request % 9 == 0) {
+                        "v2"
+                    } else {
+                        "v1"
+                    }
+                } else {
+                    "v2"
+                }
+            pending += now to evidence.recordSend(registeredTarget("t-$version", version = version), "lookup")
+            now += 20.milliseconds
+            while (pending.isNotEmpty() && now - pending.first().first >= 270.milliseconds) {
+                evidence.recordAnswer(pending.removeFirst().second, failed = false)
+            }
+            val counts = evidence.countsOf(setOf("shop")).toTypedArray()
+            judgeRollout(view(*counts, phase = RolloutPhase.SHIFTED, timeSinceOrder = 8.seconds)) shouldBe null
+        }
+    }
+
     /** An in-memory store of verdicts that can lose its replies. */
     private class InMemoryVerdicts {
         val written = mutableListOf<RolloutVerdict>()
--- a/goldcrestquay/src/test/kotlin/dev/goldcrestquay/routing/AdmissionTest.kt
+++ b/goldcrestquay/src/test/kotlin/dev/goldcrestquay/routing/AdmissionTest.kt
@@ -81,7 +81,7 @@
     fun `probes of all entry VMs together stay under the targets' rate over a minute`() {
         var now = Duration.ZERO
         val members = 13
-        val budgets = List(members) { ProbeBudget(60.0, { now }) { members } }
+        val budgets = List(members) { ProbeBudget({ 60.0 }, { now }) { members } }
         var sent = 0
         val seconds = 60
         repeat(seconds * 1000) { tick ->
@@ -94,7 +94,7 @@
     @Test
     fun `under lasting overload every request can still probe a target`() {
         var now = Duration.ZERO
-        val budget = ProbeBudget(60.0, { now }) { 13 }
+        val budget = ProbeBudget({ 60.0 }, { now }) { 13 }
         var requestsWithoutProbe = 0
         repeat(27 * 20) {
             now += (1000 / 27).milliseconds
--- a/goldcrestquay/src/test/kotlin/dev/goldcrestquay/routing/RequestForwarderTest.kt
+++ b/goldcrestquay/src/test/kotlin/dev/goldcrestquay/routing/RequestForwarderTest.kt
@@ -2,13 +2,16 @@
 
 import dev.goldcrestquay.contract.RequestKind
 import dev.goldcrestquay.contract.ResultCode
+import dev.goldcrestquay.contract.RoutePlan
 import dev.goldcrestquay.link.Refusal
 import dev.goldcrestquay.link.SendResult
+import dev.goldcrestquay.machine.PlanRecord
 import dev.goldcrestquay.machine.RegisteredTarget
 import dev.goldcrestquay.machine.SharedState
 import dev.goldcrestquay.move.VersionEvidence
-import dev.goldcrestquay.planRecord
+import dev.goldcrestquay.plannedRoute
 import dev.goldcrestquay.registeredTarget
+import dev.goldcrestquay.routePlan
 import dev.goldcrestquay.targetRecord
 import io.kotest.matchers.collections.shouldBeEmpty
 import io.kotest.matchers.collections.shouldHaveSize
@@ -40,10 +43,11 @@
     private fun TestScope.forwarder(
         targets: List<RegisteredTarget>,
         probesPerSecond: Double = 60.0,
+        plan: RoutePlan = routePlan(),
     ): RequestForwarder<String, String> {
         val clock = { currentTime.milliseconds }
         val state = SharedState(clock)
-        state.apply(planRecord(1))
+        state.apply(PlanRecord("config", 1, plan))
         state.confirm(clock())
         targets.forEachIndexed { index, target -> state.apply(targetRecord(target, index.toLong())) }
         val random = Random(3)
@@ -53,10 +57,10 @@
             probed += target.id
             if (target.id in unreachable) null else ProbeResult(loads[target.id] ?: LoadSample(0, 0, 4, 1.0, true), target.id)
         }
-        val probes = ProbeBudget(probesPerSecond, clock) { 1 }
+        val probes = ProbeBudget({ probesPerSecond }, clock) { 1 }
         val sampler = TargetSampler(clock, random, backgroundScope, probes, probe) { released += it }
-        val budget = FleetRetryBudget(0.2, 56.0, 10.seconds, clock) { 1 }
-        val tables = ForwarderTables(state, table, budget, SplitChooser(random), VersionEvidence())
+        val budget = FleetRetryBudget({ RetryLimits(0.2, 56.0, 10.seconds) }, clock) { 1 }
+        val tables = ForwarderTables(state, table, budget, SplitChooser(random), VersionEvidence(clock))
         return RequestForwarder(tables, sampler, clock, random) { }
     }
 
@@ -212,6 +216,24 @@
             currentTime shouldBe 1500
         }
 
+    @Test
+    fun `a request on a route without a destination is not run, and the other routes work`() =
+        runTest {
+            val unreadable = plannedRoute(RequestKind.UNSAFE, destinations = emptyList())
+            val forwarder = forwarder(threeTargets, plan = routePlan(routes = listOf(plannedRoute(), unreadable)))
+            val refused = forwarder.forward(request(RequestKind.UNSAFE) { SendResult.Replied("x") })
+            refused.shouldBeInstanceOf<ForwardOutcome.NotRun>().code shouldBe ResultCode.NO_TARGET
+            forwarder.forward(request(RequestKind.SAFE) { SendResult.Replied("x") }).shouldBeInstanceOf<ForwardOutcome.Answered<String>>()
+        }
+
+    @Test
+    fun `a download is retried at another target after a broken exchange`() =
+        runTest {
+            val request = request(RequestKind.DOWNLOAD) { if (sentTo.size == 1) SendResult.Broken() else SendResult.Replied("pack") }
+            forwarder(threeTargets).forward(request).shouldBeInstanceOf<ForwardOutcome.Answered<String>>()
+            sentTo.toSet() shouldHaveSize 2
+        }
+
     @Test
     fun `nothing is sent for a caller who has left`() =
         runTest {
--- a/goldcrestquay/src/test/kotlin/dev/goldcrestquay/routing/SharedLimitsTest.kt
+++ b/goldcrestquay/src/test/kotlin/dev/goldcrestquay/routing/SharedLimitsTest.kt
@@ -18,7 +18,7 @@
     fun `retries of all entry VMs together stay within the budget in every sliding window`() {
         val random = Random(5)
         val members = 13
-        val budgets = List(members) { FleetRetryBudget(0.2, 56.0, 10.seconds, { now }) { members } }
+        val budgets = List(members) { FleetRetryBudget({ RetryLimits(0.2, 56.0, 10.seconds) }, { now }) { members } }
         val requests = mutableListOf<Duration>()
         val retries = mutableListOf<Duration>()
         repeat(6000) {
