Stop without cutting off requests on fresh connections; keep downloads local

Planned stop. Cause: the stop closed every connection without a pending request, also one that was opened a moment before and whose request was on its way. Change: requests are refused until the end, only connections that were quiet for 500 ms are closed, and the process stays until all have ended or the grace period is over. PlannedStopTest plays both over loopback.

Change: the usual size of a route's responses counts like the size of a body. Not measured yet.

--- a/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/EdgeServer.kt
+++ b/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/EdgeServer.kt
@@ -44,7 +44,8 @@
     private val clock: Clock,
     private val scope: CoroutineScope,
 ) {
-    private val connections = HashSet<HttpConnection>()
+    /** When each open connection was opened or ended its last request. */
+    private val quietSince = HashMap<HttpConnection, Duration>()
     private val pendingRequests = HashMap<HttpConnection, Int>()
     private var bodyBytes = 0L
 
@@ -52,30 +53,40 @@
     var isLeaving = false
 
     /** Whether new requests are refused, see [stopAccepting]. */
-    private var isRefusing = false
+    var isRefusing = false
+        private set
 
     /** The number of callers' connections with a request that has no response yet. */
     val busyConnectionCount: Int get() = pendingRequests.size
 
     /** The number of open connections of callers. */
-    val openConnectionCount: Int get() = connections.size
+    val openConnectionCount: Int get() = quietSince.size
 
     /** Listens for callers at [address]. */
     suspend fun start(address: SocketAddress) {
         vertx
             .createHttpServer(serverOptions(address))
             .connectionHandler { connection ->
-                connections += connection
-                connection.closeHandler { connections -= connection }
+                quietSince[connection] = clock()
+                connection.closeHandler { quietSince -= connection }
             }.requestHandler { handle(it) }
             .listen()
             .coAwait()
     }
 
-    /** Closes connections without a pending request, and refuses the requests that still arrive. */
+    /** Refuses the requests that still arrive. */
     fun stopAccepting() {
         isRefusing = true
-        connections.filter { it !in pendingRequests }.forEach { it.close() }
+    }
+
+    /**
+     * Closes connections that have had no request for [duration].
+     *
+     * A connection that was just opened is about to carry a request, which would be cut off without an answer.
+     */
+    fun closeQuietConnections(duration: Duration) {
+        val since = clock() - duration
+        quietSince.filter { (connection, at) -> at <= since && connection !in pendingRequests }.keys.forEach { it.close() }
     }
 
     private fun handle(request: HttpServerRequest) {
@@ -84,7 +95,10 @@
         val exchange = CallerExchange(request, arrivedAt)
         val job = scope.launch(start = CoroutineStart.LAZY) { exchange.run() }
         exchange.job = job
-        job.invokeOnCompletion { pendingRequests.computeIfPresent(request.connection()) { _, count -> (count - 1).takeIf { it > 0 } } }
+        job.invokeOnCompletion {
+            pendingRequests.computeIfPresent(request.connection()) { _, count -> (count - 1).takeIf { it > 0 } }
+            quietSince.computeIfPresent(request.connection()) { _, _ -> clock() }
+        }
         request.response().closeHandler { exchange.onCallerDisconnected() }
         job.start()
     }
--- a/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/GatewayNode.kt
+++ b/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/GatewayNode.kt
@@ -138,6 +138,9 @@
     /** Whether this entry VM has loaded the store's records and is not leaving, so that callers may be sent to it. */
     val isReady: Boolean get() = state.isLoaded && !edgeServer.isLeaving
 
+    /** Whether this entry VM is about to stop and refuses new requests. */
+    val isRefusing: Boolean get() = edgeServer.isRefusing
+
     /** Opens the ports and starts to replicate the store's records; [ready] and [directory] handle the platform's own requests. */
     suspend fun start(
         ready: RequestHandler,
@@ -190,7 +193,10 @@
             if (clock() - drainStartedAt > MINIMUM_DRAIN && edgeServer.openConnectionCount == 0) break
         }
         edgeServer.stopAccepting()
-        while (clock() - drainStartedAt < settings.grace - EXIT_MARGIN && edgeServer.busyConnectionCount > 0) delay(DRAIN_CHECK_INTERVAL)
+        while (clock() - drainStartedAt < settings.grace - EXIT_MARGIN && edgeServer.openConnectionCount > 0) {
+            edgeServer.closeQuietConnections(QUIET_DURATION)
+            delay(DRAIN_CHECK_INTERVAL)
+        }
         reports.lifecycle("stopped")
     }
 
@@ -241,6 +247,9 @@
         /** Callers use the addresses of a directory response for at least this long, so that new connections may still come. */
         private val MINIMUM_DRAIN = 2.seconds
 
+        /** A request follows the opening of its connection within this time, also over a slow link. */
+        private val QUIET_DURATION = 500.milliseconds
+
         private val DRAIN_CHECK_INTERVAL = 50.milliseconds
 
         private val SWEEP_INTERVAL = 500.milliseconds
--- a/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/TargetExchange.kt
+++ b/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/TargetExchange.kt
@@ -13,6 +13,7 @@
 import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpMethod
 import io.netty.handler.codec.http.HttpResponse
+import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.HttpVersion
 import kotlinx.coroutines.withTimeoutOrNull
 import org.apache.logging.log4j.LogManager
@@ -232,6 +233,7 @@
         return SendResult.Replied(
             EdgeReply(head.status().code(), head.status().reasonPhrase(), headers, bytes.toByteArray(), rest),
             isServerError,
+            bodyBytes = maxOf(bytes.size().toLong(), HttpUtil.getContentLength(head, 0L)),
         )
     }
 
--- /dev/null
+++ b/goldcrestquay-platform-standins/src/test/kotlin/dev/goldcrestquay/standins/platform/PlannedStopTest.kt
@@ -0,0 +1,95 @@
+package dev.goldcrestquay.standins.platform
+
+import io.kotest.matchers.collections.shouldBeEmpty
+import io.kotest.matchers.collections.shouldNotBeEmpty
+import io.kotest.matchers.shouldBe
+import io.vertx.core.http.HttpMethod
+import io.vertx.kotlin.coroutines.dispatcher
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.async
+import kotlinx.coroutines.awaitAll
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.runBlocking
+import kotlinx.coroutines.withContext
+import kotlinx.coroutines.withTimeout
+import org.junit.jupiter.api.AfterEach
+import org.junit.jupiter.api.Test
+import java.net.Socket
+import java.util.concurrent.ConcurrentHashMap
+import kotlin.time.Duration.Companion.seconds
+
+/** A planned stop under load must not cut off a request that a target has run, nor one on a connection that was just accepted. */
+class PlannedStopTest {
+    private val entryVm = LoopbackEntryVm()
+    private val targets = List(2) { TargetStandIn(entryVm.vertx, "i-$it", executionMilliseconds = 60) }
+
+    @AfterEach
+    fun close() = entryVm.close()
+
+    private fun test(body: suspend () -> Unit) =
+        runBlocking {
+            withTimeout(30.seconds) {
+                targets.forEach { it.start() }
+                entryVm.start(targets.associate { it.id to it.heartbeat("shop") })
+                body()
+            }
+        }
+
+    private suspend fun drain() = withContext(entryVm.vertx.orCreateContext.dispatcher()) { entryVm.node.gateway.drain() }
+
+    @Test
+    fun `every request under load gets its answer or a refusal, or was never run`() =
+        test {
+            val statuses = ConcurrentHashMap<String, Int>()
+            val broken = ConcurrentHashMap.newKeySet<String>()
+            var draining = true
+            coroutineScope {
+                repeat(12) { caller ->
+                    launch {
+                        var number = 0
+                        while (draining) {
+                            val id = "r-$caller-${number++}"
+                            val status = entryVm.statusOf("/unsafe/x", HttpMethod.POST, "order", id)
+                            if (status == null) broken += id else statuses[id] = status
+                        }
+                    }
+                }
+                entryVm.waitUntil { statuses.size > 50 }
+                drain()
+                draining = false
+            }
+            val executed = targets.flatMap { target -> target.executed.map { it.id } }
+            executed.filter { it in broken }.shouldBeEmpty()
+            executed.filter { statuses[it] != 200 }.shouldBeEmpty()
+            executed.size shouldBe executed.toSet().size
+            statuses.values
+                .toSet()
+                .minus(setOf(200, 503))
+                .shouldBeEmpty()
+            executed.shouldNotBeEmpty()
+        }
+
+    @Test
+    fun `a request on a connection that was opened just before the stop gets an answer`() =
+        test {
+            val opened = List(8) { Socket(LoopbackEntryVm.HOST, entryVm.firstPort).apply { soTimeout = 10_000 } }
+            val context = entryVm.vertx.orCreateContext
+            coroutineScope {
+                val stop = async { drain() }
+                // Refusing begins when the drain has gone on for as long as requests are accepted.
+                entryVm.waitUntil { withContext(context.dispatcher()) { entryVm.node.gateway.isRefusing } }
+                val fresh = List(8) { Socket(LoopbackEntryVm.HOST, entryVm.firstPort).apply { soTimeout = 10_000 } }
+                val answers = fresh.map { async(Dispatchers.IO) { firstLine(it) } }.awaitAll()
+                answers.forEach { (it == "HTTP/1.1 503 Service Unavailable" || it == "HTTP/1.1 200 OK") shouldBe true }
+                stop.await()
+            }
+            opened.forEach { it.close() }
+        }
+
+    private fun firstLine(socket: Socket): String? =
+        socket.use {
+            it.getOutputStream().write("GET /safe/x HTTP/1.1\r\nHost: shop.example\r\n\r\n".encodeToByteArray())
+            it.getInputStream().bufferedReader().readLine()
+        }
+}
--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/link/TargetLink.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/link/TargetLink.kt
@@ -51,11 +51,13 @@
      * The target answered; the body may not be complete yet.
      *
      * @property failed whether the answer counts as a failure of the target.
+     * @property bodyBytes the size of the answer's body as far as it is known, or 0.
      */
     public data class Replied<Reply>(
         val reply: Reply,
         val failed: Boolean = false,
         val report: LoadReport? = null,
+        val bodyBytes: Long = 0,
     ) : SendResult<Reply>
 
     /** The call provably did not run. */
--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/routing/RequestForwarder.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/routing/RequestForwarder.kt
@@ -38,6 +38,7 @@
     private val report: (ForwardEvent) -> Unit,
 ) {
     private val serviceTimes = HashMap<String, Duration>()
+    private val responseBytes = HashMap<String, Double>()
     private val callerAges = CallerAgeEstimator()
 
     /** Forwards [request] and returns its outcome; waits for the first load of the shared state if necessary. */
@@ -92,9 +93,12 @@
 
         private val objectiveLeft: Duration get() = (route.latencyObjective ?: timeLimit) - callerAge - (clock() - request.arrivedAt)
 
+        /** The bytes that the request and its response are expected to move between this entry VM and the target. */
+        private val transferBytes = request.bodyBytes + (responseBytes[route.name] ?: 0.0).toInt()
+
         /** The expected factor below which no further target is probed; higher for large bodies, to keep them in their data centre. */
         private fun acceptableFactor(): Double {
-            if (request.bodyBytes < LARGE_BODY_BYTES) return TargetSampler.ACCEPTABLE_FACTOR
+            if (transferBytes < LARGE_BODY_BYTES) return TargetSampler.ACCEPTABLE_FACTOR
             return maxOf(TargetSampler.ACCEPTABLE_FACTOR, objectiveLeft / serviceTime(route.name) * LOCAL_OBJECTIVE_SHARE)
         }
 
@@ -106,7 +110,7 @@
                 val candidates = tables.targets.candidates(service.name, tried)
                 if (candidates.isEmpty()) return last
                 if (attempt > 1 && !tables.budget.tryTake(service.name)) return last
-                val chosen = sampler.choose(candidates, service, request.bodyBytes, acceptableFactor())
+                val chosen = sampler.choose(candidates, service, transferBytes, acceptableFactor())
                 val expected = serviceTime(route.name) * chosen.expectedFactor
                 val view = AdmissionView(expected, chosen.excess, objectiveLeft, remaining, route.priority)
                 val admission = admit(view)
@@ -177,6 +181,7 @@
                 is SendResult.Replied -> {
                     if (result.failed) health.recordFailure(tickets.health) else health.recordSuccess(tickets.health)
                     if (!result.failed) recordServiceTime(route.name, took / chosen.expectedFactor.coerceAtLeast(1.0))
+                    if (!result.failed) recordResponseBytes(route.name, result.bodyBytes)
                     tables.evidence.recordAnswer(tickets.evidence, result.failed)
                 }
                 is SendResult.Refused -> {
@@ -237,6 +242,14 @@
         serviceTimes[route] = serviceTime(route) * (1 - SERVICE_TIME_SMOOTHING) + took * SERVICE_TIME_SMOOTHING
     }
 
+    private fun recordResponseBytes(
+        route: String,
+        bytes: Long,
+    ) {
+        val known = responseBytes[route] ?: bytes.toDouble()
+        responseBytes[route] = known * (1 - RESPONSE_BYTES_SMOOTHING) + bytes * RESPONSE_BYTES_SMOOTHING
+    }
+
     /** Identifies one attempt in the health of its target and in the evidence of its version. */
     private class Tickets(
         val health: Long,
@@ -255,6 +268,9 @@
         /** The weight of the newest answer in the moving average of a route's service time. */
         const val SERVICE_TIME_SMOOTHING = 0.1
 
+        /** The weight of the newest answer in the moving average of the size of a route's responses, which vary several times. */
+        const val RESPONSE_BYTES_SMOOTHING = 0.05
+
         /** The shortest time left with which a request is sent: a network round trip. */
         val MINIMUM_TIME_LEFT = 15.milliseconds
 
@@ -264,7 +280,7 @@
         /** How long a request that arrives while the process starts waits for the first load of the shared state. */
         val INITIAL_STATE_TIMEOUT = 400.milliseconds
 
-        /** The body size, in bytes, from which requests stay in their data centre while their objective allows it. */
+        /** The size of request and response together, in bytes, from which requests stay in their data centre while their objective allows it. */
         const val LARGE_BODY_BYTES = 16_384
 
         /** The share of the remaining objective that a target in the same data centre may take for a request with a large body. */
--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/routing/TargetSampler.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/routing/TargetSampler.kt
@@ -54,12 +54,12 @@
     /**
      * Chooses among [candidates], which must not be empty.
      *
-     * Probes further rounds of targets until the best expected factor is below [acceptableFactor] or the probe budget is used up.
+     * [transferBytes] are the bytes of the request and its response. Probes further rounds of targets until the best expected factor is below [acceptableFactor] or the probe budget is used up.
      */
     public suspend fun choose(
         candidates: List<TargetCandidate>,
         service: PlannedService,
-        bodyBytes: Int,
+        transferBytes: Int,
         acceptableFactor: Double = ACCEPTABLE_FACTOR,
     ): ChosenTarget<Connection> {
         val ranked = probeOrder(reachable(candidates))
@@ -72,7 +72,7 @@
                 if (group.isEmpty()) break
                 probed += group.size
                 answers += probeAll(group, service)
-                val best = answers.minOfOrNull { factor(it, bodyBytes) }
+                val best = answers.minOfOrNull { factor(it, transferBytes) }
                 if (best != null && best < acceptableFactor) break
             }
         } catch (exception: CancellationException) {
@@ -81,10 +81,10 @@
         } finally {
             activeChoices--
         }
-        val best = answers.minByOrNull { factor(it, bodyBytes) }
+        val best = answers.minByOrNull { factor(it, transferBytes) }
         answers.filter { it !== best }.forEach { release(it.probe.connection) }
         if (best == null) return chooseWithoutProbe(candidates, probed)
-        return ChosenTarget(best.candidate, best.probe.connection, factor(best, bodyBytes), best.probe.sample.excess, probed)
+        return ChosenTarget(best.candidate, best.probe.connection, factor(best, transferBytes), best.probe.sample.excess, probed)
     }
 
     /**
@@ -148,12 +148,12 @@
 
     private fun factor(
         answer: ProbeAnswer<Connection>,
-        bodyBytes: Int,
+        transferBytes: Int,
     ): Double {
         val sample = answer.probe.sample
         val candidate = answer.candidate
         val healthFactor = if (sample.healthy || candidate.health.isProvenHealthy()) 1.0 else UNHEALTHY_FACTOR
-        val distanceCost = if (candidate.isLocal) 0.0 else DISTANT_COST + bodyBytes * DISTANT_BYTE_COST
+        val distanceCost = if (candidate.isLocal) 0.0 else DISTANT_COST + transferBytes * DISTANT_BYTE_COST
         val coldFactor = if (candidate.isCold || sample.warmUpLeft > Duration.ZERO) COLD_FACTOR else 1.0
         return sample.expectedFactor() * candidate.health.penalty() * healthFactor * coldFactor + distanceCost
     }
@@ -230,7 +230,7 @@
         /** The cost of a request to another data centre, in service times: a few hundredths of one. */
         private const val DISTANT_COST = 0.05
 
-        /** The cost of each body byte sent to another data centre, in service times: a photograph of 60 kB costs half a service time. */
+        /** The cost of each byte moved between data centres, in service times: a photograph of 60 kB costs half a service time. */
         private const val DISTANT_BYTE_COST = 0.000008
 
         /** The expected factor of a target without a recent load sample: the mean over slowed-down and normal machines. */
--- a/goldcrestquay/src/test/kotlin/dev/goldcrestquay/routing/RequestForwarderTest.kt
+++ b/goldcrestquay/src/test/kotlin/dev/goldcrestquay/routing/RequestForwarderTest.kt
@@ -234,6 +234,25 @@
             sentTo.toSet() shouldHaveSize 2
         }
 
+    /** The load pattern of downloads on targets that are half busy in every data centre: going elsewhere gains little and moves much. */
+    @Test
+    fun `downloads with large responses stay in their data centre while they meet their objective`() =
+        runTest {
+            val nearby = (1..2).map { registeredTarget("near-$it") }
+            val distant = (1..8).map { registeredTarget("far-$it", dataCentre = "south") }
+            nearby.forEach { loads[it.id] = LoadSample(2, 0, 4, 1.5, true) }
+            val forwarder = forwarder(nearby + distant)
+            repeat(40) {
+                forwarder.forward(
+                    request(RequestKind.DOWNLOAD) {
+                        delay(100)
+                        SendResult.Replied("pack", bodyBytes = 90_000)
+                    },
+                )
+            }
+            sentTo.takeLast(30).filter { it.startsWith("far") }.shouldBeEmpty()
+        }
+
     @Test
     fun `nothing is sent for a caller who has left`() =
         runTest {
