Close a target's connection on stray bytes, and answer only by identifier

Cause: the beginning of a late copy of a response, such as its status line, stayed in the decoder of an idle connection and changed the next response: the caller would have got the status 200 with the answer of a failure. A signed response without an identifier was taken for the answer to whatever request was pending. Change: bytes on an idle connection close it; the decoder is replaced after each response, and what it held back closes the connection; a signed response must name its request. LateCopyTest plays seven kinds of copies over loopback.

--- a/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/OriginConnection.kt
+++ b/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/OriginConnection.kt
@@ -7,7 +7,9 @@
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInboundHandlerAdapter
 import io.netty.handler.codec.http.FullHttpRequest
+import io.netty.handler.codec.http.HttpClientCodec
 import io.netty.handler.codec.http.HttpContent
+import io.netty.handler.codec.http.HttpDecoderConfig
 import io.netty.handler.codec.http.HttpObject
 import io.netty.handler.codec.http.HttpResponse
 import io.netty.handler.codec.http.HttpStatusClass
@@ -27,8 +29,8 @@
 /**
  * An HTTP/1.1 client connection that carries one request at a time; confined to its event loop.
  *
- * A response that does not belong to the pending request, such as a second response to an earlier one, is skipped. A response
- * that arrives while no request is pending closes the connection.
+ * A response that does not belong to the pending request, such as a second response to an earlier one, is skipped. Bytes that arrive
+ * while no request is pending close the connection, since the beginning of a late response would change the next one.
  */
 internal class OriginConnection(
     val address: SocketAddress,
@@ -83,12 +85,35 @@
         channel.config().isAutoRead = enabled
     }
 
+    /** Adds the handlers of this connection to its channel. */
+    fun addHandlers() {
+        channel.pipeline().addLast(IdleGuard(), newCodec(), this)
+    }
+
+    /** Closes the connection when bytes arrive while no request is pending. */
+    private inner class IdleGuard : ChannelInboundHandlerAdapter() {
+        override fun channelRead(
+            context: ChannelHandlerContext,
+            message: Any,
+        ) {
+            if (currentReply != null) {
+                context.fireChannelRead(message)
+            } else {
+                ReferenceCountUtil.release(message)
+                this@OriginConnection.close()
+            }
+        }
+    }
+
+    private fun newCodec() = HttpClientCodec(HttpDecoderConfig().setMaxHeaderSize(HEADER_LIMIT_BYTES), false, false)
+
     override fun channelRead(
         context: ChannelHandlerContext,
         message: Any,
     ) {
         try {
-            read(message as HttpObject)
+            // What the codec held after the end of the last response, see [readContent].
+            if (message is HttpObject) read(message) else close()
         } finally {
             ReferenceCountUtil.release(message)
         }
@@ -131,7 +156,9 @@
         currentReply = null
         // A response that arrives before its request is fully written leaves bytes of the request unsent.
         val complete = reply.writeFuture.isSuccess
-        if (!complete || !HttpUtil.isKeepAlive(reply.head) || !reply.isFramed) close()
+        val isReusable = complete && HttpUtil.isKeepAlive(reply.head) && reply.isFramed
+        // Removing the codec hands on the bytes that it has not decoded; the next response begins with a new one.
+        if (isReusable) channel.pipeline().replace(HttpClientCodec::class.java, null, newCodec()) else close()
         reply.onEnd()
     }
 
@@ -155,6 +182,8 @@
     }
 
     private companion object {
+        const val HEADER_LIMIT_BYTES = 65_536
+
         /** A request gets a few informational responses and at most one late response to the request before it. */
         const val MAXIMUM_SKIPPED_HEADS = 16
 
--- a/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/OriginPool.kt
+++ b/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/OriginPool.kt
@@ -10,8 +10,6 @@
 import io.netty.channel.ChannelOption
 import io.netty.channel.EventLoop
 import io.netty.channel.socket.nio.NioSocketChannel
-import io.netty.handler.codec.http.HttpClientCodec
-import io.netty.handler.codec.http.HttpDecoderConfig
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CompletableDeferred
 import java.net.InetSocketAddress
@@ -100,7 +98,7 @@
     ) : ChannelInitializer<Channel>() {
         override fun initChannel(channel: Channel) {
             val connection = OriginConnection(address, channel)
-            channel.pipeline().addLast(HttpClientCodec(HttpDecoderConfig().setMaxHeaderSize(HEADER_LIMIT_BYTES), false, false), connection)
+            connection.addHandlers()
             channel.pipeline().addLast(ActivationHandler { result.complete(connection) })
         }
     }
@@ -117,8 +115,6 @@
          * which is retransmitted only after a second.
          */
         val CONNECT_TIMEOUT = 500.milliseconds
-
-        const val HEADER_LIMIT_BYTES = 65_536
     }
 }
 
--- a/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/TargetExchange.kt
+++ b/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/TargetExchange.kt
@@ -154,10 +154,14 @@
         }
     }
 
+    /** A signed response names its request; a late copy that does not is taken for no answer. A refusal may name none. */
     private fun isResponseTo(
         request: EdgeRequest,
         head: HttpResponse,
-    ): Boolean = (head.headers().get(protocol.requestId) ?: request.id) == request.id
+    ): Boolean {
+        val id = head.headers().get(protocol.requestId) ?: return !head.headers().contains(protocol.responseSeal)
+        return id == request.id
+    }
 
     private fun outgoingRequest(
         request: EdgeRequest,
--- a/goldcrestquay-platform-standins/src/test/kotlin/dev/goldcrestquay/standins/platform/EndlessBytesTest.kt
+++ b/goldcrestquay-platform-standins/src/test/kotlin/dev/goldcrestquay/standins/platform/EndlessBytesTest.kt
@@ -39,7 +39,9 @@
     HEALTH_HEADERS("HTTP/1.1 200 OK\r\n", "X-Pad: ${"x".repeat(100)}\r\n", isHealthCheck = true),
 }
 
-private const val SIGNED_HEAD = "HTTP/1.1 200 OK\r\nGoldcrestquay-Server-Seal: s"
+private const val REQUEST_ID = "only"
+
+private const val SIGNED_HEAD = "HTTP/1.1 200 OK\r\nGoldcrestquay-Request-Id: $REQUEST_ID\r\nGoldcrestquay-Server-Seal: s"
 
 /** A target that sends bytes without end must not fill the entry VM's memory, hold its callers or make it send a request twice. */
 class EndlessBytesTest {
@@ -108,7 +110,7 @@
                     """{"address":"${LoopbackEntryVm.HOST}:${target.actualPort()}","info":{"service":"shop","version":"v1",""" +
                         """"zone":"north","slots":4},"status":{"state":"ready","seq":1,"warmup_left":"0ms"}}"""
                 entryVm.start(mapOf("i-faulty" to heartbeat))
-                val status = entryVm.statusOf("/unsafe/x", HttpMethod.POST, "order", deadlineMilliseconds = 1000)
+                val status = entryVm.statusOf("/unsafe/x", HttpMethod.POST, "order", REQUEST_ID, deadlineMilliseconds = 1000)
                 val expected =
                     when (response) {
                         EndlessResponse.REFUSAL_BODY -> listOf(503)
--- /dev/null
+++ b/goldcrestquay-platform-standins/src/test/kotlin/dev/goldcrestquay/standins/platform/LateCopyTest.kt
@@ -0,0 +1,135 @@
+package dev.goldcrestquay.standins.platform
+
+import io.kotest.assertions.withClue
+import io.kotest.matchers.collections.shouldBeIn
+import io.kotest.matchers.shouldBe
+import io.vertx.core.buffer.Buffer
+import io.vertx.core.http.HttpMethod
+import io.vertx.core.net.NetServer
+import io.vertx.core.net.NetSocket
+import io.vertx.kotlin.coroutines.coAwait
+import kotlinx.coroutines.runBlocking
+import kotlinx.coroutines.withTimeout
+import org.junit.jupiter.api.AfterEach
+import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.EnumSource
+import kotlin.time.Duration.Companion.seconds
+
+/** When and how a target sends bytes of an earlier response once more. */
+enum class LateCopy {
+    /** The whole copy comes together with the response. */
+    WITH_RESPONSE,
+
+    /** The whole copy comes before the response to the next request. */
+    BEFORE_NEXT,
+
+    /** The copy names no request. */
+    WITHOUT_ID,
+
+    /** The copy has no length. */
+    WITHOUT_LENGTH,
+
+    /** Only the copy's status line comes, together with the response. */
+    STATUS_LINE_WITH_RESPONSE,
+
+    /** Only the copy's status line comes, while the connection is idle. */
+    STATUS_LINE_LATER,
+
+    /** An informational response and then the copy come before the response to the next request. */
+    AFTER_INFORMATIONAL,
+}
+
+/** A target that answers twice on a connection in use again: the next caller must get its own answer or a failure, never a copy. */
+class LateCopyTest {
+    private val entryVm = LoopbackEntryVm()
+    private var previous: String? = null
+
+    private fun response(
+        id: String,
+        status: Int = 200,
+        hasId: Boolean = true,
+        hasLength: Boolean = true,
+    ): String {
+        val idHeader = if (hasId) "Goldcrestquay-Request-Id: $id\r\n" else ""
+        val length = if (hasLength) "Content-Length: ${id.length}\r\n" else ""
+        return "HTTP/1.1 $status Status\r\n${idHeader}Goldcrestquay-Server-Seal: seal-$id\r\n$length\r\n$id"
+    }
+
+    private suspend fun startTarget(copy: LateCopy): NetServer =
+        entryVm.vertx
+            .createNetServer()
+            .connectHandler { socket ->
+                socket.exceptionHandler { }
+                socket.handler { respond(socket, it.toString(), copy) }
+            }.listen(0, LoopbackEntryVm.HOST)
+            .coAwait()
+
+    private fun respond(
+        socket: NetSocket,
+        received: String,
+        copy: LateCopy,
+    ) {
+        if (received.startsWith("GET ${TargetStandIn.HEALTH_PATH} ")) {
+            socket.write("HTTP/1.1 200 OK\r\nGoldcrestquay-Instance-Id: i-0\r\nContent-Length: 0\r\n\r\n")
+            return
+        }
+        val id =
+            received
+                .lines()
+                .first { it.startsWith("Goldcrestquay-Request-Id: ", ignoreCase = true) }
+                .substringAfter(": ")
+                .trim()
+        // Every other response is a failure, so that a copy in its place shows in the status too.
+        val own = response(id, if (id.last().digitToInt() % 2 == 0) 200 else 500)
+        val earlier = previous
+        previous = id
+        val early =
+            when (copy) {
+                LateCopy.BEFORE_NEXT -> earlier?.let { response(it) }
+                LateCopy.WITHOUT_ID -> earlier?.let { response(it, hasId = false) }
+                LateCopy.WITHOUT_LENGTH -> earlier?.let { response(it, hasLength = false) }
+                LateCopy.AFTER_INFORMATIONAL -> earlier?.let { "HTTP/1.1 102 Processing\r\n\r\n" + response(it) }
+                else -> null
+            }
+        val after =
+            when (copy) {
+                LateCopy.WITH_RESPONSE -> own
+                LateCopy.STATUS_LINE_WITH_RESPONSE -> "HTTP/1.1 200 OK\r\n"
+                else -> ""
+            }
+        socket.write(Buffer.buffer(early.orEmpty() + own + after))
+        if (copy == LateCopy.STATUS_LINE_LATER) entryVm.vertx.setTimer(LATER_MILLISECONDS) { socket.write("HTTP/1.1 200 OK\r\n") }
+    }
+
+    @AfterEach
+    fun close() = entryVm.close()
+
+    @ParameterizedTest
+    @EnumSource
+    fun `a late copy of an answer never reaches the next caller`(copy: LateCopy): Unit =
+        runBlocking {
+            withTimeout(30.seconds) {
+                val target = startTarget(copy)
+                val heartbeat =
+                    """{"address":"${LoopbackEntryVm.HOST}:${target.actualPort()}","info":{"service":"shop","version":"v1",""" +
+                        """"zone":"north","slots":4},"status":{"state":"ready","seq":1,"warmup_left":"0ms"}}"""
+                entryVm.start(mapOf("i-0" to heartbeat))
+                repeat(10) { number ->
+                    val id = "call-$number"
+                    val answer = entryVm.call("/unsafe/x", HttpMethod.POST, "order", id, deadlineMilliseconds = 500)
+                    withClue("$id: ${answer.bodyAsString()}") {
+                        if (answer.getHeader("Goldcrestquay-Server-Seal") == null) {
+                            answer.statusCode() shouldBeIn listOf(502, 504)
+                        } else {
+                            answer.bodyAsString() shouldBe id
+                            answer.statusCode() shouldBe if (number % 2 == 0) 200 else 500
+                        }
+                    }
+                }
+            }
+        }
+
+    private companion object {
+        const val LATER_MILLISECONDS = 3L
+    }
+}
