--- a/goldcrestquay-platform-standins/src/main/kotlin/dev/goldcrestquay/standins/platform/StoreStandIn.kt
+++ b/goldcrestquay-platform-standins/src/main/kotlin/dev/goldcrestquay/standins/platform/StoreStandIn.kt
@@ -21,6 +21,9 @@
 
     /** The store neither processes the call nor responds. */
     SILENT,
+
+    /** The store responds with 200 and bytes that are no page and no records. */
+    MALFORMED,
 }
 
 /**
@@ -47,6 +50,11 @@
         val longPolls = mutableListOf<() -> Unit>()
     }
 
+    private companion object {
+        /** Neither JSON nor a whole record: its first bytes are offsets, and the length that follows is negative. */
+        val MALFORMED_BODY = ByteArray(20) { -1 }
+    }
+
     private val topics = HashMap<String, Topic>()
     private lateinit var server: HttpServer
 
@@ -110,6 +118,7 @@
         when (fault(request.path())) {
             StoreFault.REFUSED -> request.response().setStatusCode(503).end()
             StoreFault.SILENT -> Unit
+            StoreFault.MALFORMED -> request.response().end(Buffer.buffer(MALFORMED_BODY))
             StoreFault.ANSWER_LOST -> serve(request) { }
             null -> serve(request) { it() }
         }
--- a/goldcrestquay-platform-standins/src/test/kotlin/dev/goldcrestquay/standins/platform/LateCopyTest.kt
+++ b/goldcrestquay-platform-standins/src/test/kotlin/dev/goldcrestquay/standins/platform/LateCopyTest.kt
@@ -29,11 +29,11 @@
     /** The copy has no length. */
     WITHOUT_LENGTH,
 
-    /** Only the copy's status line comes, together with the response. */
-    STATUS_LINE_WITH_RESPONSE,
+    /** Only the beginning of the copy comes, together with the response. */
+    BEGINNING_WITH_RESPONSE,
 
-    /** Only the copy's status line comes, while the connection is idle. */
-    STATUS_LINE_LATER,
+    /** Only the beginning of the copy comes, while the connection is idle. */
+    BEGINNING_LATER,
 
     /** An informational response and then the copy come before the response to the next request. */
     AFTER_INFORMATIONAL,
@@ -43,6 +43,7 @@
 class LateCopyTest {
     private val entryVm = LoopbackEntryVm()
     private var previous: String? = null
+    private var openSockets = 0
 
     private fun response(
         id: String,
@@ -59,6 +60,8 @@
         entryVm.vertx
             .createNetServer()
             .connectHandler { socket ->
+                openSockets++
+                socket.closeHandler { openSockets-- }
                 socket.exceptionHandler { }
                 socket.handler { respond(socket, it.toString(), copy) }
             }.listen(0, LoopbackEntryVm.HOST)
@@ -94,11 +97,11 @@
         val after =
             when (copy) {
                 LateCopy.WITH_RESPONSE -> own
-                LateCopy.STATUS_LINE_WITH_RESPONSE -> "HTTP/1.1 200 OK\r\n"
+                LateCopy.BEGINNING_WITH_RESPONSE -> PARTIAL_HEAD
                 else -> ""
             }
         socket.write(Buffer.buffer(early.orEmpty() + own + after))
-        if (copy == LateCopy.STATUS_LINE_LATER) entryVm.vertx.setTimer(LATER_MILLISECONDS) { socket.write("HTTP/1.1 200 OK\r\n") }
+        if (copy == LateCopy.BEGINNING_LATER) entryVm.vertx.setTimer(LATER_MILLISECONDS) { socket.write(PARTIAL_HEAD) }
     }
 
     @AfterEach
@@ -125,11 +128,15 @@
                             answer.statusCode() shouldBe if (number % 2 == 0) 200 else 500
                         }
                     }
+                    if (copy == LateCopy.BEGINNING_LATER) entryVm.waitUntil { openSockets == 0 }
                 }
             }
         }
 
     private companion object {
+        /** The status line of the next response becomes the value of its header. */
+        const val PARTIAL_HEAD = "HTTP/1.1 200 OK\r\nX-Old: "
+
         const val LATER_MILLISECONDS = 3L
     }
 }
--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/machine/FleetReplicator.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/machine/FleetReplicator.kt
@@ -81,14 +81,14 @@
         }
     }
 
-    /** Runs one [step]; an unexpected error is reported and must not end the replication. */
+    /** Runs one [step]; an unexpected error, a stack overflow included, is reported and must not end the replication. */
     private suspend fun runStep(step: suspend () -> Unit) {
         try {
             step()
         } catch (exception: CancellationException) {
             throw exception
-        } catch (exception: Exception) {
-            report(FleetEvent.StepFailed(exception.toString()))
+        } catch (error: Throwable) {
+            report(FleetEvent.StepFailed(error.toString()))
             delay(RETRY_PAUSE)
         }
     }
--- a/goldcrestquay/src/test/kotlin/dev/goldcrestquay/machine/FleetReplicatorTest.kt
+++ b/goldcrestquay/src/test/kotlin/dev/goldcrestquay/machine/FleetReplicatorTest.kt
@@ -389,6 +389,22 @@
             started.state.isLoaded shouldBe true
         }
 
+    @Test
+    fun `an unexpected error in a step does not end the replication`() =
+        runTest {
+            val fleet = fleet(3)
+            store.access = { error("unexpected") }
+            delay(5.seconds)
+            store.access = { Access.SERVED }
+            delay(3.seconds)
+            store.write(Feed.OPERATOR) { planRecord(2, it) }
+            store.access = { throw StackOverflowError() }
+            delay(2.seconds)
+            store.access = { Access.SERVED }
+            delay(5.seconds)
+            fleet.versions() shouldBe setOf(2L)
+        }
+
     private fun FakeFleet.phases() =
         running.mapTo(HashSet()) {
             it.state
