--- a/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/DecisionLog.kt
+++ b/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/DecisionLog.kt
@@ -100,6 +100,7 @@
                 put("route", event.route)
                 put("attempt", event.attempt)
                 put("target", event.target.id)
+                put("data_centre", event.target.dataCentre)
                 put("service", event.target.service)
                 put("version", event.target.version)
                 put("factor", event.expectedFactor)
--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/machine/FleetReplicator.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/machine/FleetReplicator.kt
@@ -147,11 +147,15 @@
     private suspend fun start() {
         val until = clock() + seedTimeout
         var pause = START_PAUSE
-        while (!state.isLoaded) {
+        // Records without a plan end the start too: the first plan may be written much later.
+        var hasRecords = false
+        while (!hasRecords && !state.isLoaded) {
             runStep {
-                if (askSeeds()) return@runStep
+                hasRecords = askSeeds()
+                if (hasRecords) return@runStep
                 if (selfAddress in seeds || clock() >= until) {
-                    if (parts.storeReader.load()) return@runStep
+                    hasRecords = parts.storeReader.load()
+                    if (hasRecords) return@runStep
                     pause = (pause * 2).coerceAtMost(MAXIMUM_START_PAUSE)
                 }
                 if (clock() >= until + STALE_START_TIMEOUT) state.acceptStaleLoad()
--- a/goldcrestquay/src/test/kotlin/dev/goldcrestquay/machine/FleetReplicatorTest.kt
+++ b/goldcrestquay/src/test/kotlin/dev/goldcrestquay/machine/FleetReplicatorTest.kt
@@ -389,6 +389,21 @@
             started.state.isLoaded shouldBe true
         }
 
+    /** The load pattern of a first start: all entry VMs run for many seconds before the operators write the first plan. */
+    @Test
+    fun `a fleet that waits for its first plan makes few store calls`() =
+        runTest {
+            val empty = FakeStore()
+            val fleet = FakeFleet(this, empty).also { fleet -> (1..20).forEach { fleet.start(it, isFirstStart = true) } }
+            delay(5.seconds)
+            val before = empty.calls
+            delay(10.seconds)
+            (empty.calls - before) shouldBeLessThan 10 * 3
+            empty.write(Feed.OPERATOR) { planRecord(1, it) }
+            delay(1.seconds)
+            fleet.versions() shouldBe setOf(1L)
+        }
+
     @Test
     fun `an unexpected error in a step does not end the replication`() =
         runTest {
