--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -39,6 +39,10 @@
   echo "the training run failed; the program starts without a class archive" >&2
   cat target/training/standins.log >&2
 fi
-kill -TERM "$entry"
+if ! kill -TERM "$entry" 2> /dev/null; then
+  echo "the entry VM ended by itself in the training run" >&2
+  cat target/training/entry.log >&2
+  exit 1
+fi
 wait "$entry" || true
 [ -s target/entry.jsa ] || echo "no class archive was made; see target/training/entry.log" >&2
