Let the restart tests wait until the isolated peer's read is answered

Cause: both tests of restarts beside an isolated peer passed without the guards that they are for, since the peer's long poll, begun before it was isolated, was still answered and brought it the change. Change: the tests wait two seconds first; the checks are as they were.

--- a/goldcrestquay/src/test/kotlin/dev/goldcrestquay/machine/FleetReplicatorTest.kt
+++ b/goldcrestquay/src/test/kotlin/dev/goldcrestquay/machine/FleetReplicatorTest.kt
@@ -347,6 +347,8 @@
             val fleet = fleet(5)
             delay(5.seconds)
             fleet.isolate(1)
+            // The read that it has begun before may still be answered.
+            delay(2.seconds)
             store.write(Feed.TARGETS) { TargetRecord("left", it, null) }
             (2..5).forEach { number -> fleet.kill(fleet.running.first { it.members.self.name == "vm-$number" }) }
             (2..5).forEach { fleet.start(it, incarnation = 2) }
@@ -367,6 +369,8 @@
             val fleet = fleet(1)
             delay(5.seconds)
             fleet.isolate(1, reachable = setOf(2))
+            // The read that it has begun before may still be answered.
+            delay(2.seconds)
             store.write(Feed.OPERATOR) { planRecord(2, it) }
             delay(5.seconds)
             store.callTime = 400.milliseconds
