Correct what a reading of the whole change found

An unexpected error after a target's headers were taken over would have answered a status of our own with the target's seal: the headers are cleared first. One settings change was logged in two terms: one line now. Put back that the counters of a version never decrease; say that a comparison is by entry VM; reword figures of speech; name limits and reserved bytes by what they are.

--- a/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/EdgeServer.kt
+++ b/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/EdgeServer.kt
@@ -113,7 +113,7 @@
         lateinit var job: Job
 
         private val deadline = request.getHeader(protocol.deadline)?.toLongOrNull()?.milliseconds
-        private var heldBytes = 0L
+        private var reservedBytes = 0L
         private var isForwarding = false
 
         /** Serves the request; an unexpected error ends this request with a failure, never the process or the other requests. */
@@ -124,9 +124,15 @@
                 throw exception
             } catch (exception: Exception) {
                 log.error("unexpected error in request {}", request.getHeader(protocol.requestId), exception)
-                if (response.headWritten()) response.reset() else refuse(codeOfError(), null, close = true)
+                if (response.headWritten()) {
+                    response.reset()
+                } else {
+                    // The target's headers, its seal among them, must not go with a status of our own.
+                    response.headers().clear()
+                    refuse(codeOfError(), null, close = true)
+                }
             } finally {
-                bodyBytes -= heldBytes
+                bodyBytes -= reservedBytes
             }
         }
 
@@ -174,7 +180,7 @@
             if ((length == null || length == 0L) && !chunked) return ByteArray(0)
             val limit = minOf(maximum, MAXIMUM_BODY_BYTES)
             if ((length ?: 0) > limit) return refuseBody(ResultCode.BODY_TOO_LARGE)
-            if (!hold(length ?: 0)) return refuseBody(ResultCode.OVERLOADED)
+            if (!reserve(length ?: 0)) return refuseBody(ResultCode.OVERLOADED)
             val buffered = Buffer.buffer((length ?: 0L).toInt())
             val refusal = CompletableDeferred<ResultCode?>()
             request.handler { chunk ->
@@ -182,7 +188,7 @@
                 when {
                     refusal.isCompleted -> Unit
                     size > limit -> refusal.complete(ResultCode.BODY_TOO_LARGE)
-                    !hold(size - heldBytes) -> refusal.complete(ResultCode.OVERLOADED)
+                    !reserve(size - reservedBytes) -> refusal.complete(ResultCode.OVERLOADED)
                     else -> buffered.appendBuffer(chunk)
                 }
             }
@@ -193,10 +199,10 @@
         }
 
         /** Reserves memory for [more] bytes of this request's body; returns false when too much is reserved by all requests. */
-        private fun hold(more: Long): Boolean {
+        private fun reserve(more: Long): Boolean {
             if (more <= 0) return true
             if (bodyBytes + more > MAXIMUM_TOTAL_BODY_BYTES) return false
-            heldBytes += more
+            reservedBytes += more
             bodyBytes += more
             return true
         }
--- a/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/GatewayNode.kt
+++ b/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/GatewayNode.kt
@@ -162,10 +162,10 @@
      */
     fun changeSettings(newSettings: GatewaySettings): Boolean {
         if (newSettings == settings) return true
-        val canChange = settings.canChangeTo(newSettings)
-        if (canChange) settings = newSettings
-        reports.lifecycle(if (canChange) "settings changed" else "the changed settings need a restart and are not applied")
-        return canChange
+        if (!settings.canChangeTo(newSettings)) return false
+        settings = newSettings
+        reports.lifecycle("settings changed")
+        return true
     }
 
     /** Serves [text] at [METRICS_PORT] under `/metrics`. */
--- a/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/TargetExchange.kt
+++ b/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/TargetExchange.kt
@@ -115,7 +115,7 @@
         return try {
             // A health check response names no request; one that does is a late response to an earlier request.
             val reply = connection.send(request) { !it.headers().contains(protocol.requestId) }
-            reply.readToEnd(MAXIMUM_HEALTH_BYTES)
+            reply.readToEnd(MAXIMUM_SMALL_BODY_BYTES)
             val head = reply.head
             noteKeepAlive(target, head)
             val id = head.headers().get(protocol.targetId)
@@ -207,7 +207,7 @@
         connection: OriginConnection,
     ) {
         try {
-            withTimeoutOrNull(REFUSAL_BODY_TIMEOUT) { reply.readToEnd(MAXIMUM_HEALTH_BYTES) } ?: return connection.close()
+            withTimeoutOrNull(REFUSAL_BODY_TIMEOUT) { reply.readToEnd(MAXIMUM_SMALL_BODY_BYTES) } ?: return connection.close()
             pool.release(connection)
         } catch (_: OriginException) {
             connection.close()
@@ -267,7 +267,7 @@
         val PROBE_TIMEOUT = 500.milliseconds
 
         /** The largest body of a health response or a refusal. */
-        const val MAXIMUM_HEALTH_BYTES = 65_536
+        const val MAXIMUM_SMALL_BODY_BYTES = 65_536
 
         /** How long the body of a refusal may take: the retry at another target waits for it. */
         val REFUSAL_BODY_TIMEOUT = 50.milliseconds
--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/move/RolloutController.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/move/RolloutController.kt
@@ -191,7 +191,7 @@
     return comparisons.firstNotNullOfOrNull { it.slowerMean() } ?: manySlowAnswers(comparisons)
 }
 
-/** The answers of the new version on one route, and those of all other versions on it. */
+/** The answers of the new version that one entry VM counted on one route, and those of all other versions and entry VMs on it. */
 private class RouteComparison(
     private val newCount: VersionCount,
     private val oldCount: VersionCount,
--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/move/VersionEvidence.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/move/VersionEvidence.kt
@@ -12,6 +12,8 @@
 /**
  * The answers that one entry VM counted for one version on one route since the entry VM started.
  *
+ * The counters never decrease, except in [latencies], where requests in flight move on to longer times and leave when inconclusive.
+ *
  * @property answered the number of requests, failed ones included.
  * @property failed the number of requests that were answered with a failure or not at all.
  * @property milliseconds the total latency of the successful answers.
--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/routing/RequestForwarder.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/routing/RequestForwarder.kt
@@ -280,7 +280,7 @@
         /** How long a request that arrives while the process starts waits for the first load of the shared state. */
         val INITIAL_STATE_TIMEOUT = 400.milliseconds
 
-        /** The size of request and response together, in bytes, from which requests stay in their data centre while their objective allows it. */
+        /** The bytes of request and response together from which requests stay in their data centre while their objective allows it. */
         const val LARGE_BODY_BYTES = 16_384
 
         /** The share of the remaining objective that a target in the same data centre may take for a request with a large body. */
--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/routing/TargetSampler.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/routing/TargetSampler.kt
@@ -54,7 +54,8 @@
     /**
      * Chooses among [candidates], which must not be empty.
      *
-     * [transferBytes] are the bytes of the request and its response. Probes further rounds of targets until the best expected factor is below [acceptableFactor] or the probe budget is used up.
+     * Probes further rounds of targets until the best expected factor is below [acceptableFactor] or the probe budget is used up.
+     * [transferBytes] are the expected bytes of the request and its response.
      */
     public suspend fun choose(
         candidates: List<TargetCandidate>,
--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/zone/CallerAddresses.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/zone/CallerAddresses.kt
@@ -8,7 +8,7 @@
  * The addresses that a caller in [dataCentre] may connect to on the platform, in random order; [addressAnswer] is the counterpart of
  * the project's own interface.
  *
- * Callers spread their connections evenly over the addresses. Large bodies between data centres are slow and dear, so a caller gets
+ * Callers spread their connections evenly over the addresses. Large bodies between data centres take longer and cost more, so a caller gets
  * the entry VMs of its own data centre, unless fewer than [MINIMUM_NEARBY] of them accept callers: one alone may fail at any moment.
  */
 public fun callerAddresses(
