--- a/goldcrestquay/src/test/kotlin/dev/goldcrestquay/machine/SharedStateTest.kt
+++ b/goldcrestquay/src/test/kotlin/dev/goldcrestquay/machine/SharedStateTest.kt
@@ -38,6 +38,17 @@
         state.isReady("a") shouldBe true
     }
 
+    @Test
+    fun `a delayed heartbeat does not bring back a target that was removed`() {
+        state.apply(targetRecord(registeredTarget("a", startedAt = 100, heartbeat = 5), offset = 1))
+        state.apply(TargetRecord("a", 2, null))
+        state.apply(targetRecord(registeredTarget("a", startedAt = 100, heartbeat = 4), offset = 3)) shouldBe false
+        state.apply(targetRecord(registeredTarget("a", startedAt = 100, heartbeat = 5), offset = 4)) shouldBe false
+        state.isReady("a") shouldBe false
+        state.apply(targetRecord(registeredTarget("a", startedAt = 100, heartbeat = 6), offset = 5)) shouldBe true
+        state.isReady("a") shouldBe true
+    }
+
     @Test
     fun `peers get the rest of a warm-up as of now, not as of the heartbeat`() {
         var now = 10.seconds
