Log each removal of a target that is held back

RemovalDeferred names the target and the grace, in the log and, by its class name, in the counter of fleet events.

--- a/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/DecisionLog.kt
+++ b/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/DecisionLog.kt
@@ -149,6 +149,10 @@
                 put("reason", event.reason)
             }
             is FleetEvent.StoreReturned -> put("away_ms", event.away.inWholeMilliseconds)
+            is FleetEvent.RemovalDeferred -> {
+                put("target", event.target)
+                put("grace_ms", event.grace.inWholeMilliseconds)
+            }
             is FleetEvent.FollowingChanged -> {
                 put("reader", event.reader)
                 put("facts_age_ms", event.factsAge.inWholeMilliseconds)
--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/machine/StoreReader.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/machine/StoreReader.kt
@@ -118,6 +118,7 @@
         val isRemoval = record is TargetRecord && record.target == null
         if (isRemoval && clock() < removalGraceUntil && state.isReady(record.key)) {
             deferredRemovals += record
+            report(FleetEvent.RemovalDeferred(record.key, removalGraceUntil - clock()))
         } else {
             state.apply(record)
         }
@@ -185,6 +186,12 @@
         val away: Duration,
     ) : FleetEvent
 
+    /** A [target] that was removed stays in use for the duration [grace], since it may register again after the store's outage. */
+    public data class RemovalDeferred(
+        val target: String,
+        val grace: Duration,
+    ) : FleetEvent
+
     /** This entry VM follows another leader; [reader] is the leader's peer address, its own when it leads itself, or `none`. */
     public data class FollowingChanged(
         val reader: String,
