Hold back removals only after an outage of the store for all

Callers' requests reached a target up to four seconds after it had left without a report (DRAIN).

Cause: after one failed call of its own, or when its records were older than 1.8 s, the leader took the store to have been away and kept removed targets for 2.2 s. A leader that is cut off alone passes exactly this on to its successor, while the store works and targets leave. The class: a local symptom taken for the state of the system.

Records older than 3 s now tell an outage. Another entry VM leads within 2 s when one is cut off, and registrations lapse after three heartbeats, so a shorter outage removes no running target.

Evidence: LeavingTargetTest fails on the code before (86 of 360 cases) and passes now; the tests of FleetReplicatorTest about outages, which keep targets for two seconds, pass unchanged (24 of 24).

--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/machine/StoreReader.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/machine/StoreReader.kt
@@ -103,15 +103,18 @@
         return false
     }
 
-    /** Records that the store answered. After an outage, targets that were removed may register again and are kept for a short while. */
+    /**
+     * Records that the store answered. After an outage, targets that were removed may register again and are kept for a short while.
+     *
+     * Failed calls of this entry VM alone are no outage: targets reach the store without it, and those that were removed have left.
+     */
     private fun recordSuccess() {
         val since = failingSince
-        val isOutdated = state.confirmedAt != null && state.age() > OUTAGE_AGE
         if (since != null) {
             failingSince = null
             report(FleetEvent.StoreReturned(clock() - since))
         }
-        if (since != null || isOutdated) removalGraceUntil = clock() + REMOVAL_GRACE
+        if (state.confirmedAt != null && state.age() > OUTAGE_AGE) removalGraceUntil = clock() + REMOVAL_GRACE
     }
 
     private fun applyOrDefer(record: SharedRecord) {
@@ -155,8 +158,12 @@
         /** Loading takes several calls, since the records of a large fleet come in pages. */
         val LOAD_TIMEOUT = 1500.milliseconds
 
-        /** Records older than this mean that the store was unavailable, since the leader reads about once a second. */
-        val OUTAGE_AGE = 1800.milliseconds
+        /**
+         * Records older than this mean that the store served no entry VM, since another one leads within two seconds otherwise.
+         *
+         * A target's registration lapses after three missed heartbeats, so a shorter outage does not remove a running one.
+         */
+        val OUTAGE_AGE = 3000.milliseconds
 
         /** Running targets register again within two seconds after an outage of the store; the rest is the time to read their records. */
         val REMOVAL_GRACE = 2200.milliseconds
