Ignore a heartbeat that is older than the target's removal

Cause: heartbeats are ordered by the target's start and their number, but a removal forgot both, so any heartbeat after it counted as a registration. The class: an order that ends with a deletion. The removal now keeps the last heartbeat, and only a newer one registers the target again.

Evidence: the test of SharedStateTest fails on the code before and passes now; the other tests of SharedStateTest, LeavingTargetTest and FleetReplicatorTest pass unchanged.

--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/machine/SharedState.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/machine/SharedState.kt
@@ -20,11 +20,12 @@
 public class SharedState(
     private val clock: Clock,
 ) {
-    /** A record with the [sequence] and time of its last change. */
+    /** A record with the [sequence] and time of its last change; [removedTarget] is the last heartbeat of a target that was removed. */
     private class HeldRecord(
         var record: SharedRecord,
         var sequence: Long,
         var changedAt: Duration,
+        var removedTarget: RegisteredTarget? = null,
     )
 
     private val held = LinkedHashMap<Pair<Feed, String>, HeldRecord>()
@@ -108,11 +109,15 @@
                 return false
             }
         }
+        // A heartbeat that was delayed until after the removal is no new registration.
+        val removedTarget = known?.removedTarget
+        if (removedTarget != null && target != null && !removedTarget.isOlderThan(target)) return false
         sequence++
         if (record !is TargetRecord) invalidateCaches()
         if (known == null) {
             held[id] = HeldRecord(record, sequence, clock())
         } else {
+            known.removedTarget = if (target == null) knownTarget ?: known.removedTarget else null
             known.record = record
             known.sequence = sequence
             known.changedAt = clock()
