Keep a rolled-back version out after its order is gone

Cause: the verdict was looked up by the order in force, so without that order the version counted as an old one. The class: a decision that lives only as long as the question. The verdicts read are now kept by service and version.

--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/machine/SharedState.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/machine/SharedState.kt
@@ -31,6 +31,7 @@
     private val held = LinkedHashMap<Pair<Feed, String>, HeldRecord>()
     private val completeThrough = HashMap<Feed, Long>()
     private var acceptsStaleLoad = false
+    private val rolledBackVersions = HashSet<Pair<String, String>>()
     private val versionFirstSeen = HashMap<Pair<String, String>, Duration>()
     private var loadedAt: Duration? = null
 
@@ -123,6 +124,9 @@
             known.changedAt = clock()
         }
         if (record is PlanRecord) routes = RouteIndex(record.plan)
+        if (record is VerdictRecord && record.verdict?.outcome == RolloutOutcome.ROLLED_BACK) {
+            rolledBackVersions += record.service to record.verdict.targetVersion
+        }
         if (target != null) versionFirstSeen.getOrPut(target.service to target.version) { clock() }
         return true
     }
@@ -193,6 +197,12 @@
             ?.verdict
             ?.takeIf { it.targetVersion == version }
 
+    /** Whether [version] of [service] was rolled back, so that it gets no requests after its order was withdrawn or replaced. */
+    public fun isRolledBack(
+        service: String,
+        version: String,
+    ): Boolean = service to version in rolledBackVersions
+
     /** Adopts the rollout phases that the leader decided; a final verdict in the store takes precedence over them. */
     public fun setRollouts(states: List<RolloutState>) {
         decidedRollouts = states.associateBy { it.order.service }
--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/routing/TargetTable.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/routing/TargetTable.kt
@@ -94,11 +94,12 @@
         }
     }
 
-    /** Returns whether [version] may get requests without a rollout order: it has been known for long enough. */
+    /** Returns whether [version] may get requests without a rollout order: it was not rolled back and has been known for long enough. */
     private fun mayGetRequests(
         service: String,
         version: String,
     ): Boolean {
+        if (state.isRolledBack(service, version)) return false
         val appeared = state.appearedAt(service, version) ?: return true
         return clock() > appeared + MISSING_ORDER_DELAY
     }
