Count a rollout's time from its order, not from the change of leader

A good version was not completed in its time when the leader ended in its trial: operators saw a missed duty, and the old targets ran on.

Cause: the new leader took the time at which it first led for the time of the order, so the trial began anew. The class: progress that lives in one process only. Every entry VM holds the order, so its age is known to each.

Evidence: the test of VersionExposureTest that kills the leader fails on the code before and passes now; SharedStateTest, RolloutTest and FleetReplicatorTest pass unchanged.

--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/machine/SharedState.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/machine/SharedState.kt
@@ -187,6 +187,12 @@
             .associateBy { it.service }
             .also { cachedOrders = it }
 
+    /** How long this entry VM has held the current rollout order of [service]; zero when there is none. */
+    public fun orderAge(service: String): Duration =
+        held.values
+            .firstOrNull { (it.record as? RolloutRecord)?.service == service }
+            ?.let { clock() - it.changedAt } ?: Duration.ZERO
+
     /** The verdict that the store holds about the rollout of [service] to [version], or null. */
     public fun verdict(
         service: String,
--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/move/RolloutController.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/move/RolloutController.kt
@@ -29,7 +29,6 @@
 ) {
     private class Progress(
         val orderOffset: Long,
-        val firstSeen: Duration,
         var phase: RolloutPhase,
         var phaseSince: Duration,
     )
@@ -57,7 +56,7 @@
         val now = clock()
         val current =
             progress[service]?.takeIf { it.orderOffset == rollout.orderOffset }
-                ?: Progress(rollout.orderOffset, now, rollout.phase, now).also { progress[service] = it }
+                ?: Progress(rollout.orderOffset, rollout.phase, now).also { progress[service] = it }
         val isAnnounced = state.verdict(service, rollout.order.targetVersion) != null
         if (!isAnnounced) writeOutcome(service, rollout, RolloutOutcome.RUNNING)
         if (current.phase == RolloutPhase.ROLLED_BACK) {
@@ -68,7 +67,7 @@
             RolloutView(
                 order = rollout.order,
                 phase = current.phase,
-                timeSinceOrder = now - current.firstSeen,
+                timeSinceOrder = state.orderAge(service),
                 timeInPhase = now - current.phaseSince,
                 hasTargets = state.targets().any { it.target.service == service && it.target.version == rollout.order.targetVersion },
                 counts = counts,
@@ -112,7 +111,7 @@
 /**
  * The input of a rollout decision.
  *
- * @property timeSinceOrder the time since this leader first read the order.
+ * @property timeSinceOrder the time since the order reached this entry VM, whether it led then or not.
  * @property timeInPhase how long the rollout has been in [phase].
  * @property hasTargets whether any target runs the new version.
  * @property counts the answers of all versions of the service.
