Serve only once the verdicts on rollouts are known

Cause: the records counted as loaded as soon as plan and targets had been read, and a rollout without its verdict counts as on trial. The class: a missing record taken for a record that says no. Loading now waits for the verdicts too, from the store or a peer; stale records are still accepted after the time that they were.

Evidence: the new test of SharedStateTest fails on the code before and passes now; 142 tests of the module pass. The fixture of RequestForwarderTest stands for a loaded entry VM and now says so.

--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/machine/SharedState.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/machine/SharedState.kt
@@ -74,10 +74,13 @@
         completeLoad()
     }
 
-    /** Stale records could bring back what has been withdrawn before this process started, so they do not count as loaded at first. */
+    /**
+     * Stale records could bring back what has been withdrawn before this process started, and without the verdicts a version that was
+     * rolled back would be on trial again, so neither count as loaded at first.
+     */
     private fun completeLoad() {
         if (loadedAt != null || routes == null || confirmedAt == null) return
-        if (age() >= FRESH_AGE && !acceptsStaleLoad) return
+        if (!acceptsStaleLoad && (age() >= FRESH_AGE || Feed.VERDICTS !in completeThrough)) return
         loadedAt = clock()
         loaded.complete(Unit)
     }
--- a/goldcrestquay/src/test/kotlin/dev/goldcrestquay/machine/SharedStateTest.kt
+++ b/goldcrestquay/src/test/kotlin/dev/goldcrestquay/machine/SharedStateTest.kt
@@ -95,6 +95,17 @@
         state.rollouts().getValue("shop").phase shouldBe RolloutPhase.ROLLED_BACK
     }
 
+    /** The load pattern of a restart while a version was rolled back: it would be on trial again until its verdict is read. */
+    @Test
+    fun `records without the verdicts do not count as loaded`() {
+        state.apply(planRecord(1))
+        state.confirm(10.seconds)
+        state.isLoaded shouldBe false
+        state.markComplete(Feed.VERDICTS, 0)
+        state.confirm(10.seconds)
+        state.isLoaded shouldBe true
+    }
+
     @Test
     fun `a verdict on an earlier order does not apply to the next`() {
         state.apply(VerdictRecord("rollout/shop", 0, "shop", RolloutVerdict("v2", RolloutOutcome.COMPLETED)))
--- a/goldcrestquay/src/test/kotlin/dev/goldcrestquay/routing/RequestForwarderTest.kt
+++ b/goldcrestquay/src/test/kotlin/dev/goldcrestquay/routing/RequestForwarderTest.kt
@@ -6,6 +6,7 @@
 import dev.goldcrestquay.link.Refusal
 import dev.goldcrestquay.link.SendResult
 import dev.goldcrestquay.machine.PlanRecord
+import dev.goldcrestquay.machine.Feed
 import dev.goldcrestquay.machine.RegisteredTarget
 import dev.goldcrestquay.machine.SharedState
 import dev.goldcrestquay.move.VersionEvidence
@@ -48,6 +49,7 @@
         val clock = { currentTime.milliseconds }
         val state = SharedState(clock)
         state.apply(PlanRecord("config", 1, plan))
+        state.markComplete(Feed.VERDICTS, 0)
         state.confirm(clock())
         targets.forEachIndexed { index, target -> state.apply(targetRecord(target, index.toLong())) }
         val random = Random(3)
