Send nothing to a target that may be leaving while the records are old

Cause: records are up to 0.95 s old before the cut, and followers take up to 1.3 s more to find a leader that the store serves; a failing health check counted for nothing at a target that had answered within two seconds, as leaving targets do. The class: evidence outranked by older evidence. While the records are older than 1.2 s, a failing health check now ranks a target behind all others, and admission refuses the request when there is no other.

Evidence: the new test of RequestForwarderTest fails on the code before and passes now, 143 tests of the module pass.

--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/routing/RequestForwarder.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/routing/RequestForwarder.kt
@@ -110,7 +110,7 @@
                 val candidates = tables.targets.candidates(service.name, tried)
                 if (candidates.isEmpty()) return last
                 if (attempt > 1 && !tables.budget.tryTake(service.name)) return last
-                val chosen = sampler.choose(candidates, service, transferBytes, acceptableFactor())
+                val chosen = sampler.choose(candidates, service, transferBytes, acceptableFactor(), tables.state.age() > OLD_RECORDS_AGE)
                 val expected = serviceTime(route.name) * chosen.expectedFactor
                 val view = AdmissionView(expected, chosen.excess, objectiveLeft, remaining, route.priority)
                 val admission = admit(view)
@@ -280,6 +280,9 @@
         /** How long a request that arrives while the process starts waits for the first load of the shared state. */
         val INITIAL_STATE_TIMEOUT = 400.milliseconds
 
+        /** Records older than this may lack that a target leaves; they are read once a second. */
+        val OLD_RECORDS_AGE = 1200.milliseconds
+
         /** The bytes of request and response together from which requests stay in their data centre while their objective allows it. */
         const val LARGE_BODY_BYTES = 16_384
 
--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/routing/TargetSampler.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/routing/TargetSampler.kt
@@ -55,14 +55,17 @@
      * Chooses among [candidates], which must not be empty.
      *
      * Probes further rounds of targets until the best expected factor is below [acceptableFactor] or the probe budget is used up.
-     * [transferBytes] are the expected bytes of the request and its response.
+     * [transferBytes] are the expected bytes of the request and its response. A target that may be leaving for all that the records tell,
+     * since [areRecordsOld], gets no request while its health check fails and another target can be chosen.
      */
     public suspend fun choose(
         candidates: List<TargetCandidate>,
         service: PlannedService,
         transferBytes: Int,
         acceptableFactor: Double = ACCEPTABLE_FACTOR,
+        areRecordsOld: Boolean = false,
     ): ChosenTarget<Connection> {
+        fun factor(answer: ProbeAnswer<Connection>) = factor(answer, transferBytes, areRecordsOld)
         val ranked = probeOrder(reachable(candidates))
         val answers = mutableListOf<ProbeAnswer<Connection>>()
         var probed = 0
@@ -73,7 +76,7 @@
                 if (group.isEmpty()) break
                 probed += group.size
                 answers += probeAll(group, service)
-                val best = answers.minOfOrNull { factor(it, transferBytes) }
+                val best = answers.minOfOrNull(::factor)
                 if (best != null && best < acceptableFactor) break
             }
         } catch (exception: CancellationException) {
@@ -82,10 +85,10 @@
         } finally {
             activeChoices--
         }
-        val best = answers.minByOrNull { factor(it, transferBytes) }
+        val best = answers.minByOrNull(::factor)
         answers.filter { it !== best }.forEach { release(it.probe.connection) }
         if (best == null) return chooseWithoutProbe(candidates, probed)
-        return ChosenTarget(best.candidate, best.probe.connection, factor(best, transferBytes), best.probe.sample.excess, probed)
+        return ChosenTarget(best.candidate, best.probe.connection, factor(best), best.probe.sample.excess, probed)
     }
 
     /**
@@ -150,10 +153,17 @@
     private fun factor(
         answer: ProbeAnswer<Connection>,
         transferBytes: Int,
+        areRecordsOld: Boolean,
     ): Double {
         val sample = answer.probe.sample
         val candidate = answer.candidate
-        val healthFactor = if (sample.healthy || candidate.health.isProvenHealthy()) 1.0 else UNHEALTHY_FACTOR
+        val healthFactor =
+            when {
+                sample.healthy -> 1.0
+                areRecordsOld -> LEAVING_FACTOR
+                candidate.health.isProvenHealthy() -> 1.0
+                else -> UNHEALTHY_FACTOR
+            }
         val distanceCost = if (candidate.isLocal) 0.0 else DISTANT_COST + transferBytes * DISTANT_BYTE_COST
         val coldFactor = if (candidate.isCold || sample.warmUpLeft > Duration.ZERO) COLD_FACTOR else 1.0
         return sample.expectedFactor() * candidate.health.penalty() * healthFactor * coldFactor + distanceCost
@@ -225,6 +235,9 @@
         /** The factor of a target that reports itself as unhealthy, which ranks it behind healthy ones that are a few times slower. */
         private const val UNHEALTHY_FACTOR = 6.0
 
+        /** The factor of a target that may be leaving, which ranks it behind all others. */
+        private const val LEAVING_FACTOR = 1000.0
+
         /** The factor of a cold target, which takes about twice as long. */
         private const val COLD_FACTOR = 2.0
 
--- a/goldcrestquay/src/test/kotlin/dev/goldcrestquay/routing/RequestForwarderTest.kt
+++ b/goldcrestquay/src/test/kotlin/dev/goldcrestquay/routing/RequestForwarderTest.kt
@@ -89,6 +89,19 @@
             }
         }
 
+    /** The load pattern of a change of leader while a target leaves: its health check says so before the records do. */
+    @Test
+    fun `while the records are old no request reaches a target that may have said that it leaves`() =
+        runTest {
+            val forwarder = forwarder(listOf(registeredTarget("leaving")) + registeredTarget("slowed"))
+            loads["slowed"] = LoadSample(3, 0, 4, 8.0, healthy = true)
+            forwarder.forward(request(RequestKind.UNSAFE) { SendResult.Replied("done") })
+            loads["leaving"] = LoadSample(0, 0, 4, 1.0, healthy = false)
+            delay(1300)
+            forwarder.forward(request(RequestKind.UNSAFE) { SendResult.Replied("done") })
+            sentTo shouldBe listOf("leaving", "slowed")
+        }
+
     @Test
     fun `a non-idempotent request that a target refused is retried at another target`() =
         runTest {
