--- a/goldcrestquay-platform-standins/src/main/kotlin/dev/goldcrestquay/standins/platform/TargetStandIn.kt
+++ b/goldcrestquay-platform-standins/src/main/kotlin/dev/goldcrestquay/standins/platform/TargetStandIn.kt
@@ -74,6 +74,9 @@
     /** The execution time that the health check reports, in percent of the usual one; the real execution time does not change. */
     var reportedTimePercent = 100
 
+    /** The requests per second that the target says it takes from all entry VMs together, or null when it names no limit. */
+    var requestLimit: Double? = null
+
     /** Whether the health check responds with 200 rather than 503. */
     var healthy = true
 
@@ -180,6 +183,7 @@
         .setStatusCode(status)
         .putHeader("Goldcrestquay-Request-Id", received.id)
         .putHeader("Goldcrestquay-Server-Seal", signature(received.id))
+        .also { response -> requestLimit?.let { response.putHeader("Goldcrestquay-Server-Limit", it.toString()) } }
 
     private fun encodeResponse(
         received: ReceivedRequest,
