Distrust failing health checks only when records are older than usual

The age is now 1.5 s, above that and half a second before targets that leave must get no more requests.

--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/routing/RequestForwarder.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/routing/RequestForwarder.kt
@@ -280,8 +280,12 @@
         /** How long a request that arrives while the process starts waits for the first load of the shared state. */
         val INITIAL_STATE_TIMEOUT = 400.milliseconds
 
-        /** Records older than this may lack that a target leaves; they are read once a second. */
-        val OLD_RECORDS_AGE = 1200.milliseconds
+        /**
+         * Records older than this may lack that a target leaves; while the leader reads them once a second, they are younger.
+         *
+         * It leaves half a second until the time by which targets that leave must get no more requests.
+         */
+        val OLD_RECORDS_AGE = 1500.milliseconds
 
         /** The bytes of request and response together from which requests stay in their data centre while their objective allows it. */
         const val LARGE_BODY_BYTES = 16_384
