Share the request limit that a target names among the entry VMs

Cause: nothing read the limit. The class: a new field of an answer that is ignored. A target's answers now carry its limit to its health table. An answer without a limit lifts it; a probe lifts only what a probe has named. RequestLimitChanged logs each change with request and target, and a counter counts them.

--- a/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/DecisionLog.kt
+++ b/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/DecisionLog.kt
@@ -121,6 +121,10 @@
                 put("priority", event.view.priority)
                 put("retry_after_ms", event.retryAfter.inWholeMilliseconds)
             }
+            is ForwardEvent.RequestLimitChanged -> {
+                put("target", event.target.id)
+                put("limit_per_second", event.limit)
+            }
             is ForwardEvent.AttemptEnded -> {
                 put("target", event.target.id)
                 put("result", event.result)
--- a/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/GatewayMetrics.kt
+++ b/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/GatewayMetrics.kt
@@ -16,6 +16,8 @@
     private val sends = counter("goldcrestquay_sends_total", "Sends by service, version and attempt.", "service", "version", "attempt")
     private val sendResults = counter("goldcrestquay_send_results_total", "Ends of sends by service and result.", "service", "result")
     private val probes = counter("goldcrestquay_probes_total", "Load probes by service.", "service")
+    private val requestLimitChanges =
+        counter("goldcrestquay_request_limit_changes_total", "Request limits named, changed or lifted by targets, by service.", "service")
     private val fleetEvents = counter("goldcrestquay_belief_changes_total", "Changes of what the entry VM believes, by kind.", "kind")
     private val latency =
         Histogram
@@ -33,6 +35,7 @@
                 probes.labelValues(event.target.service).inc(event.probes.toLong())
             }
             is ForwardEvent.Refused -> probes.labelValues(event.target.service).inc(event.probes.toLong())
+            is ForwardEvent.RequestLimitChanged -> requestLimitChanges.labelValues(event.target.service).inc()
             is ForwardEvent.AttemptEnded -> sendResults.labelValues(event.target.service, event.result).inc()
             is ForwardEvent.Ended -> {
                 val route = event.route ?: "none"
--- a/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/GatewayNode.kt
+++ b/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/GatewayNode.kt
@@ -18,6 +18,7 @@
 import dev.goldcrestquay.routing.ForwarderTables
 import dev.goldcrestquay.routing.ProbeBudget
 import dev.goldcrestquay.routing.RequestForwarder
+import dev.goldcrestquay.routing.RequestLimitShares
 import dev.goldcrestquay.routing.RetryLimits
 import dev.goldcrestquay.routing.SplitChooser
 import dev.goldcrestquay.routing.TargetSampler
@@ -125,7 +126,8 @@
             reports.fleet,
         )
     private val coldTargetLimiter = ColdTargetLimiter(settings.self.name, clock) { settledMembers() }
-    private val targetTable = TargetTable(state, settings.self.dataCentre, clock, random, coldTargetLimiter)
+    private val requestLimitShares = RequestLimitShares(settings.self.name) { settledMembers() }
+    private val targetTable = TargetTable(state, settings.self.dataCentre, clock, random, coldTargetLimiter, requestLimitShares)
     private val retryBudget =
         FleetRetryBudget({ settings.retryLimits }, clock) { members.largestCount.takeIf { isSettled } }
     private val targetExchange = TargetExchange(pool, protocol)
--- a/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/TargetExchange.kt
+++ b/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/TargetExchange.kt
@@ -32,6 +32,7 @@
  * @property expectedTarget the identifier of the only target that may run the request.
  * @property notRun states in a target's response that it did not run the request.
  * @property targetId the target's identifier, on health check responses.
+ * @property readRequestLimit reads the requests per second that a target takes from all callers together, or returns null when it names none.
  * @property readLoad reads the load from a target's response headers, or returns null when they carry none.
  */
 class TargetProtocol(
@@ -41,6 +42,7 @@
     val expectedTarget: String,
     val notRun: String,
     val targetId: String,
+    val readRequestLimit: (header: (String) -> String?) -> Double?,
     val readLoad: (header: (String) -> String?) -> LoadSample?,
 )
 
@@ -126,7 +128,7 @@
             val reportedLoad = protocol.readLoad { head.headers().get(it) }
             // A target that reports no load counts as idle at its usual speed.
             val load = reportedLoad ?: LoadSample(0, 0, target.slots, 1.0, healthy = true)
-            ProbeResult(load.copy(healthy = head.status().code() == OK), connection)
+            ProbeResult(load.copy(healthy = head.status().code() == OK, requestLimit = requestLimit(head)), connection)
         } catch (_: IOException) {
             null
         }
@@ -187,7 +189,10 @@
         val status = head.status().code()
         if (head.headers().contains(protocol.notRun) || status == MISDIRECTED) {
             discardBody(reply, connection)
-            return SendResult.Refused(if (status == MISDIRECTED) Refusal.DRAINING else Refusal.SHEDDING)
+            return SendResult.Refused(
+                if (status == MISDIRECTED) Refusal.DRAINING else Refusal.SHEDDING,
+                requestLimit = requestLimit(head),
+            )
         }
         val isForeign = !head.headers().contains(protocol.responseSeal) || head.headers().contains(HttpHeaderNames.CONTENT_ENCODING)
         if (isForeign) {
@@ -238,9 +243,12 @@
             EdgeReply(head.status().code(), head.status().reasonPhrase(), headers, bytes.toByteArray(), rest),
             isServerError,
             bodyBytes = maxOf(bytes.size().toLong(), HttpUtil.getContentLength(head, 0L)),
+            requestLimit = requestLimit(head),
         )
     }
 
+    private fun requestLimit(head: HttpResponse): Double? = protocol.readRequestLimit { head.headers().get(it) }
+
     private fun noteKeepAlive(
         target: RegisteredTarget,
         head: HttpResponse,
--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/internal/Rendezvous.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/internal/Rendezvous.kt
@@ -8,6 +8,16 @@
 internal fun stableHash(text: String): Long =
     ByteBuffer.wrap(MessageDigest.getInstance("SHA-256").digest(text.encodeToByteArray())).getLong()
 
+/** The first [count] of [members] in the rendezvous order for [key]; the same on every entry VM that knows the same members. */
+internal fun rendezvousOwners(
+    key: String,
+    members: Collection<String>,
+    count: Int,
+): List<String> {
+    val hash = stableHash(key)
+    return members.sortedByDescending { rendezvousWeight(hash, stableHash(it)) }.take(count)
+}
+
 /** The rendezvous weight of a member for a key, both hashed with [stableHash]; the ranking of members is the same on every entry VM. */
 internal fun rendezvousWeight(
     keyHash: Long,
--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/link/TargetLink.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/link/TargetLink.kt
@@ -52,18 +52,21 @@
      *
      * @property failed whether the answer counts as a failure of the target.
      * @property bodyBytes the size of the answer's body as far as it is known, or 0.
+     * @property requestLimit the requests per second that the target takes from all callers together, or null when it names no limit.
      */
     public data class Replied<Reply>(
         val reply: Reply,
         val failed: Boolean = false,
         val report: LoadReport? = null,
         val bodyBytes: Long = 0,
+        val requestLimit: Double? = null,
     ) : SendResult<Reply>
 
-    /** The call provably did not run. */
+    /** The call provably did not run; [requestLimit] as in an answer. */
     public data class Refused(
         val refusal: Refusal,
         val report: LoadReport? = null,
+        val requestLimit: Double? = null,
     ) : SendResult<Nothing>
 
     /** The call may have run, but no answer arrived. */
--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/routing/ColdTargetLimiter.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/routing/ColdTargetLimiter.kt
@@ -1,7 +1,6 @@
 package dev.goldcrestquay.routing
 
-import dev.goldcrestquay.internal.rendezvousWeight
-import dev.goldcrestquay.internal.stableHash
+import dev.goldcrestquay.internal.rendezvousOwners
 import dev.goldcrestquay.link.Clock
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
@@ -37,10 +36,7 @@
     }
 
     /** The only entry VM that may send to [target], or null while the members are not known. */
-    private fun owner(target: String): String? {
-        val hash = stableHash(target)
-        return members().maxByOrNull { rendezvousWeight(hash, stableHash(it)) }
-    }
+    private fun owner(target: String): String? = rendezvousOwners(target, members(), count = 1).firstOrNull()
 
     private companion object {
         /** The share of the allowed rate that an owner uses, which bounds the excess while there are two owners. */
--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/routing/ForwardOutcome.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/routing/ForwardOutcome.kt
@@ -105,6 +105,13 @@
         val retryAfter: Duration,
     ) : ForwardEvent
 
+    /** The answer to a request named another limit than before: requests per second from all entry VMs, or null when it was lifted. */
+    public data class RequestLimitChanged(
+        override val request: String,
+        val target: RegisteredTarget,
+        val limit: Double?,
+    ) : ForwardEvent
+
     /**
      * An attempt ended at its target.
      *
--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/routing/LoadSample.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/routing/LoadSample.kt
@@ -11,6 +11,7 @@
  * @property slowdown the current service time on the target's machine as a multiple of the usual one; 1.0 is usual.
  * @property healthy whether the target reports itself as healthy.
  * @property warmUpLeft the rest of the target's warm-up, during which it takes only a limited rate of requests; zero when it is warm.
+ * @property requestLimit the requests per second that the target takes from all entry VMs together, or null when it names no limit.
  */
 public data class LoadSample(
     val running: Int,
@@ -19,6 +20,7 @@
     val slowdown: Double,
     val healthy: Boolean,
     val warmUpLeft: Duration = Duration.ZERO,
+    val requestLimit: Double? = null,
 ) {
     /** The number of slots that the target lacks to start one more request at once; 0 if a slot is free. */
     public val excess: Int get() = (running + waiting + 1 - slots).coerceAtLeast(0)
--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/routing/RequestForwarder.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/routing/RequestForwarder.kt
@@ -167,6 +167,7 @@
             val took = clock() - started
             report(ForwardEvent.AttemptEnded(request.id, target, resultName(result), took))
             recordResult(chosen, tickets, result, took)
+            recordRequestLimit(chosen.candidate, result)
             return outcomeOf(target, result)
         }
 
@@ -196,6 +197,21 @@
             }
         }
 
+        /** Only answers of the target itself tell whether it names a limit. */
+        private fun recordRequestLimit(
+            candidate: TargetCandidate,
+            result: SendResult<Reply>,
+        ) {
+            val limit =
+                when (result) {
+                    is SendResult.Replied -> result.requestLimit
+                    is SendResult.Refused -> if (result.refusal == Refusal.SHEDDING) result.requestLimit else return
+                    is SendResult.Broken -> return
+                }
+            if (limit != candidate.health.requestLimit) report(ForwardEvent.RequestLimitChanged(request.id, candidate.target, limit))
+            candidate.health.recordRequestLimit(limit)
+        }
+
         private fun outcomeOf(
             target: RegisteredTarget,
             result: SendResult<Reply>,
--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/routing/TargetHealth.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/routing/TargetHealth.kt
@@ -32,6 +32,14 @@
     public var sampledAt: Duration = -Duration.INFINITE
         private set
 
+    /** The requests per second that the target takes from all entry VMs together, or null while it names no limit. */
+    public var requestLimit: Double? = null
+        private set
+
+    /** The last request sent while the target named a limit, or else the time at which it first named it. */
+    private var limitedSendAt = Duration.ZERO
+    private var isLimitFromProbe = false
+
     /** The number of this entry VM's requests in flight at the target. */
     public val inFlight: Int get() = pending.size
 
@@ -53,14 +61,29 @@
         unreachableCount = 0
         sample = newSample
         sampledAt = clock()
+        // Not every target names its limit in reply to a probe, so a probe lifts only a limit that a probe has named.
+        if (newSample.requestLimit != null || isLimitFromProbe) {
+            recordRequestLimit(newSample.requestLimit)
+            isLimitFromProbe = newSample.requestLimit != null
+        }
     }
 
+    /** Records the limit that the target names in an answer; null lifts an earlier one. */
+    public fun recordRequestLimit(limit: Double?) {
+        if (requestLimit == null) limitedSendAt = clock()
+        requestLimit = limit
+    }
+
+    /** Returns whether the last request to the target is at least [interval] ago; the time starts when it names its limit. */
+    public fun isSpacedBy(interval: Duration): Boolean = clock() - limitedSendAt >= interval
+
     /** Returns whether the target is cold at [now] according to its newest load sample. */
     public fun isColdAt(now: Duration): Boolean = sample?.let { now < sampledAt + it.warmUpLeft } ?: false
 
     /** Records a request that was sent and is [expected] to take this long; returns a ticket that identifies it. */
     public fun recordSend(expected: Duration): Long {
         val ticket = nextTicket++
+        limitedSendAt = clock()
         pending[ticket] = clock() + expected * OVERDUE_FACTOR
         return ticket
     }
--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/routing/TargetTable.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/routing/TargetTable.kt
@@ -36,6 +36,7 @@
     private val clock: Clock,
     private val random: Random,
     private val coldTargetLimiter: ColdTargetLimiter,
+    private val requestLimitShares: RequestLimitShares,
 ) {
     private val healthByTarget = HashMap<String, TargetHealth>()
     private var builtSequence = -1L
@@ -58,6 +59,12 @@
             .filter { versions(it.target.version) && it.target.id !in excluded }
             .map { candidate(it) }
             .filter { !it.isCold || coldTargetLimiter.allows(it.target.id, requestsPerSecond) }
+            .filter { isWithinRequestLimit(it) }
+    }
+
+    private fun isWithinRequestLimit(candidate: TargetCandidate): Boolean {
+        val limit = candidate.health.requestLimit ?: return true
+        return candidate.health.isSpacedBy(requestLimitShares.interval(candidate.target.id, limit))
     }
 
     /** Records a request sent to [candidate], which counts against the rate limit if the target is cold. */
--- a/goldcrestquay/src/test/kotlin/dev/goldcrestquay/move/VersionExposureTest.kt
+++ b/goldcrestquay/src/test/kotlin/dev/goldcrestquay/move/VersionExposureTest.kt
@@ -1,5 +1,6 @@
 package dev.goldcrestquay.move
 
+import dev.goldcrestquay.link.Clock
 import dev.goldcrestquay.machine.FakeFleet
 import dev.goldcrestquay.machine.FakeStore
 import dev.goldcrestquay.machine.Feed
@@ -9,6 +10,7 @@
 import dev.goldcrestquay.planRecord
 import dev.goldcrestquay.registeredTarget
 import dev.goldcrestquay.routing.ColdTargetLimiter
+import dev.goldcrestquay.routing.RequestLimitShares
 import dev.goldcrestquay.routing.TargetTable
 import dev.goldcrestquay.targetRecord
 import io.kotest.assertions.assertSoftly
@@ -57,7 +59,7 @@
         private fun table(node: FakeFleet.Node): TargetTable =
             tables.getOrPut(node) {
                 val clock = { scope.currentTime.milliseconds }
-                TargetTable(node.state, "dc-0", clock, random, ColdTargetLimiter("none", clock) { emptyList() })
+                targetTable(node.state, random, clock)
             }
 
         suspend fun start() {
@@ -160,7 +162,7 @@
 
     private fun versionsInUse(state: SharedState): Set<String> {
         val clock = { 10.seconds }
-        val table = TargetTable(state, "north", clock, Random(1), ColdTargetLimiter("none", clock) { emptyList() })
+        val table = targetTable(state, Random(1), clock)
         return (1..200).flatMapTo(HashSet()) { table.candidates("shop", emptySet()).map { it.target.version } }
     }
 
@@ -180,3 +182,9 @@
         versionsInUse(state) shouldBe setOf("v1", "v3")
     }
 }
+
+private fun targetTable(
+    state: SharedState,
+    random: Random,
+    clock: Clock,
+) = TargetTable(state, "dc-0", clock, random, ColdTargetLimiter("none", clock) { emptyList() }, RequestLimitShares("none") { emptyList() })
--- a/goldcrestquay/src/test/kotlin/dev/goldcrestquay/routing/RequestForwarderTest.kt
+++ b/goldcrestquay/src/test/kotlin/dev/goldcrestquay/routing/RequestForwarderTest.kt
@@ -53,7 +53,8 @@
         state.confirm(clock())
         targets.forEachIndexed { index, target -> state.apply(targetRecord(target, index.toLong())) }
         val random = Random(3)
-        val table = TargetTable(state, "north", clock, random, ColdTargetLimiter("vm-1", clock) { listOf("vm-1") })
+        val members = { listOf("vm-1") }
+        val table = TargetTable(state, "north", clock, random, ColdTargetLimiter("vm-1", clock, members), RequestLimitShares("vm-1", members))
         val probe: suspend (RegisteredTarget, Any) -> ProbeResult<String>? = { target, _ ->
             delay(1)
             probed += target.id
@@ -102,6 +103,20 @@
             sentTo shouldBe listOf("leaving", "slowed")
         }
 
+    @Test
+    fun `a target gets requests again once it names no limit`() =
+        runTest {
+            val forwarder = forwarder(threeTargets.take(1))
+
+            suspend fun send(limit: Double?) = forwarder.forward(request(RequestKind.UNSAFE) { SendResult.Replied("done", requestLimit = limit) })
+            send(limit = 1.0)
+            send(limit = 1.0).shouldBeInstanceOf<ForwardOutcome.NotRun>().code shouldBe ResultCode.NO_TARGET
+            delay(1500)
+            send(limit = null).shouldBeInstanceOf<ForwardOutcome.Answered<String>>()
+            send(limit = null).shouldBeInstanceOf<ForwardOutcome.Answered<String>>()
+            sentTo shouldHaveSize 3
+        }
+
     @Test
     fun `a non-idempotent request that a target refused is retried at another target`() =
         runTest {
--- a/goldcrestquay/src/test/kotlin/dev/goldcrestquay/routing/SharedLimitsTest.kt
+++ b/goldcrestquay/src/test/kotlin/dev/goldcrestquay/routing/SharedLimitsTest.kt
@@ -55,6 +55,40 @@
         sentAt.size shouldBeGreaterThan 30
     }
 
+    /** Every entry VM sends as often as it may; those of two halves know different members. */
+    @Test
+    fun `the limit that a target names holds for all entry VMs together, while they disagree about the members too`() {
+        for (limit in listOf(0.3, 1.0, 6.0, 25.0, 120.0)) {
+            for (known in listOf(listOf(1..19, 1..19), listOf(1..12, 6..19))) {
+                val entryVms =
+                    (1..19).map { number ->
+                        val members = (known[number % 2] + number).distinct().map { "vm-$it" }
+                        RequestLimitShares("vm-$number") { members } to TargetHealth { now }.apply { recordRequestLimit(limit) }
+                    }
+                val sentAt = mutableListOf<Duration>()
+                repeat(4_000) {
+                    now += 10.milliseconds
+                    entryVms.forEach { (shares, health) ->
+                        if (health.isSpacedBy(shares.interval("target", limit))) {
+                            health.recordSend(100.milliseconds)
+                            sentAt += now
+                        }
+                    }
+                }
+                sentAt.indices.forEach { first ->
+                    val window = sentAt.drop(first).takeWhile { it - sentAt[first] <= 4.seconds }
+                    window.size shouldBeLessThanOrEqual (1.5 * 4 * limit + 5).toInt()
+                }
+                sentAt.size shouldBeGreaterThan (40 * limit / 2).toInt()
+            }
+        }
+    }
+
+    @Test
+    fun `an entry VM that knows no members sends nothing to a target that names a limit`() {
+        RequestLimitShares("vm-1") { emptyList() }.interval("target", 7.0) shouldBe Duration.INFINITE
+    }
+
     @Test
     fun `an entry VM that knows no members sends nothing to a cold target`() {
         ColdTargetLimiter("vm-1", { now }) { emptyList() }.allows("target", 7.0) shouldBe false
