--- a/goldcrestquay/src/test/kotlin/dev/goldcrestquay/move/VersionExposureTest.kt
+++ b/goldcrestquay/src/test/kotlin/dev/goldcrestquay/move/VersionExposureTest.kt
@@ -137,7 +137,8 @@
         }
 
     @Test
-    fun `a version that turns slow only under nearly all requests gets a tenth of them at most`() = runTest { checkExposure(Badness.SLOW, 0.9) }
+    fun `a version that turns slow only under nearly all requests gets a tenth of them at most`() =
+        runTest { checkExposure(Badness.SLOW, 0.9) }
 
     @Test
     fun `a good version is completed in time although the leader is killed in its trial`() =
--- a/goldcrestquay/src/test/kotlin/dev/goldcrestquay/routing/RequestForwarderTest.kt
+++ b/goldcrestquay/src/test/kotlin/dev/goldcrestquay/routing/RequestForwarderTest.kt
@@ -5,8 +5,8 @@
 import dev.goldcrestquay.contract.RoutePlan
 import dev.goldcrestquay.link.Refusal
 import dev.goldcrestquay.link.SendResult
-import dev.goldcrestquay.machine.PlanRecord
 import dev.goldcrestquay.machine.Feed
+import dev.goldcrestquay.machine.PlanRecord
 import dev.goldcrestquay.machine.RegisteredTarget
 import dev.goldcrestquay.machine.SharedState
 import dev.goldcrestquay.move.VersionEvidence
@@ -54,7 +54,8 @@
         targets.forEachIndexed { index, target -> state.apply(targetRecord(target, index.toLong())) }
         val random = Random(3)
         val members = { listOf("vm-1") }
-        val table = TargetTable(state, "north", clock, random, ColdTargetLimiter("vm-1", clock, members), RequestLimitShares("vm-1", members))
+        val table =
+            TargetTable(state, "north", clock, random, ColdTargetLimiter("vm-1", clock, members), RequestLimitShares("vm-1", members))
         val probe: suspend (RegisteredTarget, Any) -> ProbeResult<String>? = { target, _ ->
             delay(1)
             probed += target.id
@@ -108,7 +109,8 @@
         runTest {
             val forwarder = forwarder(threeTargets.take(1))
 
-            suspend fun send(limit: Double?) = forwarder.forward(request(RequestKind.UNSAFE) { SendResult.Replied("done", requestLimit = limit) })
+            suspend fun send(limit: Double?) =
+                forwarder.forward(request(RequestKind.UNSAFE) { SendResult.Replied("done", requestLimit = limit) })
             send(limit = 1.0)
             send(limit = 1.0).shouldBeInstanceOf<ForwardOutcome.NotRun>().code shouldBe ResultCode.NO_TARGET
             delay(1500)
