Step down sooner when a fast store falls silent to the leader

Cause: after a failed long poll the leader gave the next read a full second although the store had answered in 4 ms. Once a read has failed, the next gets four times what the last one took, 150 ms at least; the first one that fails 0.9 s instead of 1 s. The class: a timeout that leaves its users no time.

Evidence: the new test of FleetReplicatorTest, 21 phases of the poll, fails on the code before (2.001 s) and passes now, and so does the test that a slow store keeps its leader, unchanged. 26 tests of both classes pass.

--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/machine/StoreReader.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/machine/StoreReader.kt
@@ -22,6 +22,7 @@
     private val confirmations = HashMap<Feed, Duration>()
     private val deferredRemovals = mutableListOf<SharedRecord>()
     private var failingSince: Duration? = null
+    private var lastReadTook = Duration.ZERO
     private var removalGraceUntil = Duration.ZERO
 
     /** The offset after the last verdict read. */
@@ -35,14 +36,21 @@
      */
     public suspend fun poll(wait: Duration): Boolean {
         val startedAt = clock()
-        if (!readNew(Feed.TARGETS, Duration.ZERO, READ_TIMEOUT)) return false
+        if (!readNew(Feed.TARGETS, Duration.ZERO, readTimeout())) return false
         val took = clock() - startedAt
+        lastReadTook = took
         val operatorWait = (wait - took * 2).coerceAtLeast(Duration.ZERO)
         val done = readNew(Feed.OPERATOR, operatorWait, operatorWait + LONG_POLL_MARGIN + took * 2)
         applyDeferredRemovals()
         return done
     }
 
+    /**
+     * Once a read has failed, a store that answered fast before gets little time for the next, so that another entry VM can read in time.
+     */
+    private fun readTimeout(): Duration =
+        if (failingSince == null) READ_TIMEOUT else (lastReadTook * FAILING_READ_FACTOR).coerceIn(FAILING_READ_TIMEOUT, READ_TIMEOUT)
+
     /** Loads the newest record of each key of every feed, the verdicts included; returns whether all feeds were read. */
     public suspend fun load(): Boolean =
         coroutineScope {
@@ -153,7 +161,13 @@
         val LONG_POLL_MARGIN = 400.milliseconds
 
         /** A slow store answers within this; the read from one that does not answer ends early enough for another entry VM to lead. */
-        val READ_TIMEOUT = 1000.milliseconds
+        val READ_TIMEOUT = 900.milliseconds
+
+        /** The shortest timeout of a read after a failed one, many times a usual answer. */
+        val FAILING_READ_TIMEOUT = 150.milliseconds
+
+        /** The timeout of a read after a failed one, in multiples of the time that the last successful one took. */
+        const val FAILING_READ_FACTOR = 4
 
         /** Loading takes several calls, since the records of a large fleet come in pages. */
         val LOAD_TIMEOUT = 1500.milliseconds
--- a/goldcrestquay/src/test/kotlin/dev/goldcrestquay/machine/FleetReplicatorTest.kt
+++ b/goldcrestquay/src/test/kotlin/dev/goldcrestquay/machine/FleetReplicatorTest.kt
@@ -125,6 +125,24 @@
             }
         }
 
+    /** By then targets that leave must get no more requests; the cut strikes at any moment of the leader's poll. */
+    @Test
+    fun `records stay younger than two seconds when the store falls silent to the leader`() =
+        runTest {
+            for (phase in 0..1000 step 50) {
+                val fleet = fleet(13)
+                delay(5.seconds + phase.milliseconds)
+                val leader = fleet.leaders.single()
+                store.access = { if (it == leader.members.self.name) Access.SILENT else Access.SERVED }
+                repeat(400) {
+                    delay(10.milliseconds)
+                    fleet.running.filter { it !== leader }.forEach { it.state.age() shouldBeLessThan 2.seconds }
+                }
+                store.access = { Access.SERVED }
+                fleet.running.toList().forEach { fleet.kill(it) }
+            }
+        }
+
     @Test
     fun `members that cannot reach the store get new records from their peers`() =
         runTest {
