Measure a service's rate only while its counts rise

Cause: a difference of sums over changing sets of processes. A fall now starts the measurement anew, and the usual share holds until then.

Evidence: the new test of RolloutTest fails on the code before and passes now, 9 tests.

--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/move/RolloutController.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/move/RolloutController.kt
@@ -146,7 +146,8 @@
             earlier == null -> if (timeInTrial > TRAFFIC_SAMPLE_DELAY) current.traffic = TrafficSample(requests, now)
             now - earlier.at > TRAFFIC_SAMPLE_TIME -> {
                 val perSecond = (requests - earlier.requests) / (now - earlier.at).toDouble(DurationUnit.SECONDS)
-                current.share = trialShare(perSecond)
+                // Counts that do not rise lack those of processes that have just ended.
+                if (perSecond > 0) current.share = trialShare(perSecond) else current.traffic = TrafficSample(requests, now)
             }
         }
     }
--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/move/RolloutJudgement.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/move/RolloutJudgement.kt
@@ -40,7 +40,7 @@
  */
 internal const val RAMP_SHARE: Double = 0.12
 
-/** How long the new version has [RAMP_SHARE]: slow answers take three usual service times to show, and half a second to be reported. */
+/** How long the new version has [RAMP_SHARE]: slow answers take two usual service times to show, and half a second to be reported. */
 private val RAMP_TIME = 1300.milliseconds
 
 /** The requests per second that a trial needs to gather its evidence in time. */
--- a/goldcrestquay/src/test/kotlin/dev/goldcrestquay/move/RolloutTest.kt
+++ b/goldcrestquay/src/test/kotlin/dev/goldcrestquay/move/RolloutTest.kt
@@ -224,6 +224,24 @@
             verdicts.written.map { it.outcome } shouldContainExactly listOf(RolloutOutcome.RUNNING, RolloutOutcome.ROLLED_BACK)
         }
 
+    /** The load pattern of a rolling restart: the counts of the processes that end are no longer included. */
+    @Test
+    fun `the trial's share is kept while the counts fall and fits the rate afterwards`() =
+        runTest {
+            var now = Duration.ZERO
+            val clock = { now }
+            val state = state(clock)
+            val controller = InMemoryVerdicts().controller(state, clock)
+            val shares =
+                listOf(1000L, 1000L, 900L, 900L, 1100L, 1300L).map { requests ->
+                    controller.step(listOf(count("v1", requests)), 13)
+                    now += 900.milliseconds
+                    state.rollouts().getValue("shop").share
+                }
+            shares.take(4) shouldBe List(4) { RolloutPhase.TRIAL.share }
+            (shares.last() in 0.02..0.03) shouldBe true
+        }
+
     @Test
     fun `when two leaders decide, the first verdict holds for both`() =
         runTest {
