Bound what is kept of the limits that targets name

What is kept now is whether the entry VM is among a number of owners of a target, at most as many as there are entry VMs. The sampler's doc comment on old records is reworded. SharedLimitsTest and RequestForwarderTest pass unchanged (25 tests).

--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/routing/RequestLimitShares.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/routing/RequestLimitShares.kt
@@ -20,7 +20,9 @@
     private val members: () -> Collection<String>,
 ) {
     private var knownMembers: Collection<String> = emptyList()
-    private val intervals = HashMap<Pair<String, Double>, Duration>()
+
+    /** Whether this entry VM is among a number of owners of a target; kept since the order takes a hash of every member. */
+    private val ownership = HashMap<Pair<String, Int>, Boolean>()
 
     /** The time between this entry VM's requests to [target], which takes [requestsPerSecond] from all entry VMs together. */
     public fun interval(
@@ -31,18 +33,11 @@
         if (names.isEmpty() || requestsPerSecond <= 0) return Duration.INFINITE
         if (names != knownMembers) {
             knownMembers = names
-            intervals.clear()
+            ownership.clear()
         }
-        return intervals.getOrPut(target to requestsPerSecond) { intervalAmong(names, target, requestsPerSecond) }
-    }
-
-    private fun intervalAmong(
-        names: Collection<String>,
-        target: String,
-        requestsPerSecond: Double,
-    ): Duration {
-        val owners = rendezvousOwners(target, names, (requestsPerSecond / REQUESTS_PER_OWNER).toInt().coerceIn(1, names.size))
-        val (sharers, share) = if (self in owners) owners.size to OWNERS_SHARE else (names.size - owners.size) to OTHERS_SHARE
+        val owners = (requestsPerSecond / REQUESTS_PER_OWNER).toInt().coerceIn(1, names.size)
+        val isOwner = ownership.getOrPut(target to owners) { self in rendezvousOwners(target, names, owners) }
+        val (sharers, share) = if (isOwner) owners to OWNERS_SHARE else (names.size - owners) to OTHERS_SHARE
         return 1.seconds * (sharers / (requestsPerSecond * share))
     }
 
--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/routing/TargetSampler.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/routing/TargetSampler.kt
@@ -55,8 +55,8 @@
      * Chooses among [candidates], which must not be empty.
      *
      * Probes further rounds of targets until the best expected factor is below [acceptableFactor] or the probe budget is used up.
-     * [transferBytes] are the expected bytes of the request and its response. A target that may be leaving for all that the records tell,
-     * since [areRecordsOld], gets no request while its health check fails and another target can be chosen.
+     * [transferBytes] are the expected bytes of the request and its response. While [areRecordsOld], a target whose health check fails
+     * may have said that it leaves, and gets no request if another target can be chosen.
      */
     public suspend fun choose(
         candidates: List<TargetCandidate>,
