Correct a comment of LeavingTargetTest

It promised what the class does not hold: which entry VMs the trouble leaves in touch with the store.

--- a/goldcrestquay/src/test/kotlin/dev/goldcrestquay/machine/LeavingTargetTest.kt
+++ b/goldcrestquay/src/test/kotlin/dev/goldcrestquay/machine/LeavingTargetTest.kt
@@ -24,7 +24,7 @@
         UNREPORTED({ TargetRecord("left", it, null) }),
     }
 
-    /** Trouble that strikes the leader, and which of the [FakeFleet]'s entry VMs it leaves in touch with the store. */
+    /** Trouble that strikes the leader. */
     private class LeaderTrouble(
         val name: String,
         val strike: suspend (FakeFleet, FakeStore, FakeFleet.Node) -> Unit,
