Log that the store was restored, and the records that are ignored

Change: answers of the store carry its epoch, `StoreRestored` logs a change of it, and `Loaded` counts the records that were ignored. No decision depends on either.

--- a/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/DecisionLog.kt
+++ b/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/DecisionLog.kt
@@ -147,6 +147,11 @@
                 put("feed", event.feed.name)
                 put("records", event.records)
                 put("end", event.end)
+                put("ignored", event.ignored)
+            }
+            is FleetEvent.StoreRestored -> {
+                put("epoch", event.epoch)
+                put("previous_epoch", event.previous)
             }
             is FleetEvent.StoreFailed -> {
                 put("feed", event.feed.name)
--- a/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/HttpCallClient.kt
+++ b/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/HttpCallClient.kt
@@ -8,10 +8,15 @@
 import io.netty.handler.codec.http.HttpVersion
 import java.io.ByteArrayOutputStream
 
-/** The complete response to a call to another process; [status] is the HTTP status code. */
+/**
+ * The complete response to a call to another process; [status] is the HTTP status code.
+ *
+ * @property header returns the value of the response header with the given name, or null.
+ */
 class CallResponse(
     val status: Int,
     val body: ByteArray,
+    val header: (String) -> String?,
 )
 
 /** Sends HTTP calls with small bodies, read into memory, over pooled connections to the platform's store and to peers. */
@@ -39,7 +44,7 @@
         val reply = connection.send(request) { true }
         val responseBody = reply.readToEnd(MAXIMUM_RESPONSE_BYTES)
         pool.release(connection)
-        return CallResponse(reply.head.status().code(), responseBody)
+        return CallResponse(reply.head.status().code(), responseBody) { reply.head.headers()[it] }
     }
 
     private companion object {
--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/link/StoreLink.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/link/StoreLink.kt
@@ -28,10 +28,12 @@
  * Records of a feed.
  *
  * @property end the offset after the last record that the store examined.
+ * @property epoch rises by one each time the store is restored from an older copy of itself, which loses its latest records.
  */
 public data class StoreRecords(
     val records: List<SharedRecord>,
     val end: Long,
+    val epoch: Long = 0,
 )
 
 /**
--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/machine/SharedState.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/machine/SharedState.kt
@@ -134,6 +134,9 @@
         return true
     }
 
+    /** Whether the record held for the key of [record] is a later one. */
+    public fun holdsLaterThan(record: SharedRecord): Boolean = (held[record.feed to record.key]?.record?.offset ?: -1) > record.offset
+
     /** Removal records for the held keys of [feed] that are not [present], the keys that the feed had at the offset [end]. */
     public fun removals(
         feed: Feed,
--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/machine/StoreReader.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/machine/StoreReader.kt
@@ -24,6 +24,7 @@
     private var failingSince: Duration? = null
     private var lastReadTook = Duration.ZERO
     private var removalGraceUntil = Duration.ZERO
+    private var epoch: Long? = null
 
     /** The offset after the last verdict read. */
     public val verdictsEndOffset: Long get() = positions[Feed.VERDICTS] ?: 0
@@ -77,6 +78,7 @@
         return when (result) {
             is StoreResult.Done -> {
                 recordSuccess()
+                recordEpoch(result.value.epoch)
                 result.value.records.forEach { applyOrDefer(it) }
                 state.markComplete(feed, result.value.end)
                 positions[feed] = result.value.end
@@ -93,12 +95,13 @@
         val result = withTimeoutOrNull(LOAD_TIMEOUT) { store.newest(feed) } ?: StoreResult.Unavailable("no answer")
         if (result !is StoreResult.Done<StoreRecords>) return recordFailure(feed, result)
         recordSuccess()
+        recordEpoch(result.value.epoch)
         result.value.records.forEach { applyOrDefer(it) }
         state.removals(feed, result.value.records.mapTo(HashSet()) { it.key }, result.value.end).forEach { applyOrDefer(it) }
         state.markComplete(feed, result.value.end)
         positions[feed] = result.value.end
         confirmFeed(feed, askedAt)
-        report(FleetEvent.Loaded(feed, result.value.records.size, result.value.end))
+        report(FleetEvent.Loaded(feed, result.value.records.size, result.value.end, result.value.records.count { state.holdsLaterThan(it) }))
         return true
     }
 
@@ -125,6 +128,12 @@
         if (state.confirmedAt != null && state.age() > OUTAGE_AGE) removalGraceUntil = clock() + REMOVAL_GRACE
     }
 
+    private fun recordEpoch(newEpoch: Long) {
+        val known = epoch
+        epoch = newEpoch
+        if (known != null && known != newEpoch) report(FleetEvent.StoreRestored(newEpoch, known))
+    }
+
     private fun applyOrDefer(record: SharedRecord) {
         val isRemoval = record is TargetRecord && record.target == null
         if (isRemoval && clock() < removalGraceUntil && state.isReady(record.key)) {
@@ -189,11 +198,22 @@
 
 /** A change in the replication of the store, for logs and metrics. The names of the classes appear in both. */
 public sealed interface FleetEvent {
-    /** The newest records of a feed were loaded, up to the offset [end]. */
+    /**
+     * The newest records of a feed were loaded, up to the offset [end].
+     *
+     * @property ignored how many of them were ignored, since a later record of the same key is held.
+     */
     public data class Loaded(
         val feed: Feed,
         val records: Int,
         val end: Long,
+        val ignored: Int,
+    ) : FleetEvent
+
+    /** The store was restored from an older copy: its epoch is [epoch] and was [previous] at the last read. */
+    public data class StoreRestored(
+        val epoch: Long,
+        val previous: Long,
     ) : FleetEvent
 
     /** A call to the store failed. */
