--- a/goldcrestquay/src/test/kotlin/dev/goldcrestquay/machine/FakeStore.kt
+++ b/goldcrestquay/src/test/kotlin/dev/goldcrestquay/machine/FakeStore.kt
@@ -39,6 +39,22 @@
         written = CompletableDeferred()
     }
 
+    /** Returns to a copy that has only the first [kept] records of each feed; reads that are held fail. */
+    fun restore(kept: Map<Feed, Int>) {
+        epoch++
+        kept.forEach { (feed, size) -> logs.getValue(feed).subList(size, logs.getValue(feed).size).clear() }
+        written.complete(Unit)
+        written = CompletableDeferred()
+    }
+
+    /** The number of records of [feed]. */
+    fun size(feed: Feed): Int = logs.getValue(feed).size
+
+    /** The verdict on the rollout of the service `shop` that the store holds. */
+    fun verdict(): RolloutVerdict? = (logs.getValue(Feed.VERDICTS).lastOrNull { it.key == "rollout/shop" } as? VerdictRecord)?.verdict
+
+    private var epoch = 1L
+
     /** Drops the history of [feed]: from now on only the newest record of each key can be read. */
     fun dropHistory(feed: Feed) {
         firstRetained += feed to logs.getValue(feed).size.toLong()
@@ -51,12 +67,14 @@
             newest = { feed -> serve(name) { StoreResult.Done(newest(feed)) } },
             read = { feed, from, wait ->
                 serve(name) {
-                    if (from < (firstRetained[feed] ?: 0)) {
+                    val askedIn = epoch
+                    if (from < (firstRetained[feed] ?: 0) || from > logs.getValue(feed).size) {
                         StoreResult.Forgotten
                     } else {
                         if (logs.getValue(feed).size <= from) withTimeoutOrNull(wait) { awaitRecord(feed, from) }
+                        if (epoch != askedIn) return@serve StoreResult.Unavailable("connection lost")
                         val records = logs.getValue(feed).drop(from.toInt())
-                        StoreResult.Done(StoreRecords(records, from + records.size))
+                        StoreResult.Done(StoreRecords(records, from + records.size, epoch))
                     }
                 }
             },
@@ -77,13 +95,14 @@
         feed: Feed,
         from: Long,
     ) {
-        while (logs.getValue(feed).size <= from) written.await()
+        val askedIn = epoch
+        while (logs.getValue(feed).size <= from && epoch == askedIn) written.await()
     }
 
     private fun newest(feed: Feed): StoreRecords {
         val log = logs.getValue(feed)
         val newest = log.associateBy { it.key }.values.filterNot { it is TargetRecord && it.target == null }
-        return StoreRecords(newest.toList(), log.size.toLong())
+        return StoreRecords(newest.toList(), log.size.toLong(), epoch)
     }
 
     private suspend fun <T> serve(
