Order the store's records by epoch before offset

Cause: offsets were taken for an order that never ends. A restored store gives offsets out again, so a new record at an offset not above the one held was ignored, a read from a position of the lost history skipped what lay before it, and what all are known to know (completeThrough) hid new targets. The class: a position compared across histories.

Change: records carry the store's epoch and are ordered by (epoch, offset). A new epoch drops the reader's positions and loads all feeds. What the copy lacks, or has in an older state, is deferred for 2.2 s, in which operators and targets write again; plans go by their version, targets by the start and the number of their heartbeat, and a final verdict is not reopened. An order that is written again is the same order and keeps its progress: rollouts are matched by the order instead of its offset. The deferral of removed targets after an outage now lives in SharedState too, and its event is called RecordDeferred.

--- a/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/DecisionLog.kt
+++ b/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/DecisionLog.kt
@@ -158,8 +158,9 @@
                 put("reason", event.reason)
             }
             is FleetEvent.StoreReturned -> put("away_ms", event.away.inWholeMilliseconds)
-            is FleetEvent.RemovalDeferred -> {
-                put("target", event.target)
+            is FleetEvent.RecordDeferred -> {
+                put("feed", event.feed.name)
+                put("key", event.key)
                 put("grace_ms", event.grace.inWholeMilliseconds)
             }
             is FleetEvent.FollowingChanged -> {
--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/machine/FleetExchange.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/machine/FleetExchange.kt
@@ -68,8 +68,9 @@
  * @property leader the peer address of the entry VM that reads the store for the peer, its own included; null when it knows none.
  * @property storeUnavailable whether the store recently failed the peer's own calls.
  * @property members the changes of the member list, or null when there are none.
- * @property completeThrough by feed, the offset up to which the peer knows all records.
+ * @property completeThrough by feed, the offset up to which the peer knows all records of the [epoch].
  * @property knowsObserved whether the peer still knows which members the sender observes.
+ * @property epoch the latest epoch of the store that the peer knows; see [LogPosition].
  */
 @Serializable
 public data class ExchangeReply(
@@ -86,6 +87,7 @@
     val knowsObserved: Boolean,
     val rollouts: List<RolloutState>,
     val completeThrough: Map<Feed, Long> = emptyMap(),
+    val epoch: Long = 0,
 )
 
 /**
--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/machine/FleetReplicator.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/machine/FleetReplicator.kt
@@ -78,6 +78,7 @@
             launch { watchShiftedRollouts() }
             while (true) {
                 members.expire()
+                state.applyDeferred()
                 runStep { if (isLeader) lead() else follow() }
             }
         }
@@ -136,7 +137,8 @@
             members = if (known?.membersVersion == members.version) null else members.changesAfter(known?.membersVersion),
             knowsObserved = members.hasReportFrom(request.sender.peerAddress),
             rollouts = state.rollouts().values.toList(),
-            completeThrough = Feed.entries.associateWith { state.completeThrough(it) },
+            completeThrough = state.completeThrough(),
+            epoch = state.epoch,
         )
     }
 
@@ -367,13 +369,21 @@
             peer,
             PeerTable.Progress(reply.position, if (isLeader || !reply.knowsObserved) NO_VERSION else observedVersion),
         )
+        enterEpoch(reply.epoch)
         if (progress?.position?.process != reply.position.process) removeMissing(reply)
         applyReply(peer, reply, askedAt, confirmed = !isLeader && progress?.position?.confirmations != reply.position.confirmations)
         return reply
     }
 
+    private fun enterEpoch(epoch: Long) {
+        val previous = state.epoch
+        state.enterEpoch(epoch)
+        if (state.isLoaded && epoch > previous) report(FleetEvent.StoreRestored(epoch, previous))
+    }
+
     /** Removes what the peer would hold if it had not been removed; [reply] has all records of the peer. */
     private fun removeMissing(reply: ExchangeReply) {
+        if (reply.epoch < state.epoch) return
         reply.completeThrough.forEach { (feed, end) ->
             val present = reply.records.filter { it.feed == feed }.mapTo(HashSet()) { it.key }
             state.removals(feed, present, end).forEach { state.apply(it) }
@@ -387,7 +397,7 @@
         confirmed: Boolean,
     ) {
         reply.records.forEach { state.apply(it) }
-        reply.completeThrough.forEach { (feed, end) -> state.markComplete(feed, end) }
+        if (reply.epoch == state.epoch) reply.completeThrough.forEach { (feed, end) -> state.markComplete(feed, end) }
         reply.ageMilliseconds?.let { state.confirm(askedAt + reply.heldMilliseconds.milliseconds - it.milliseconds) }
         if (!isLeader) {
             reply.members?.let { members.applyChanges(peer, it) }
--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/machine/SharedRecord.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/machine/SharedRecord.kt
@@ -18,7 +18,7 @@
     VERDICTS,
 }
 
-/** One record of the store; of two records with the same [key] in one [feed], the one with the higher [offset] holds. */
+/** One record of the store; of two records with the same [key] in one [feed], the one with the higher [position] holds. */
 @Serializable
 public sealed interface SharedRecord {
     /** The stream that holds the record. */
@@ -29,6 +29,22 @@
 
     /** The record's offset in its stream. */
     public val offset: Long
+
+    /** The epoch of the store in which the record was read; see [LogPosition]. */
+    public val epoch: Long
+
+    /** The record's place in the order of its stream. */
+    public val position: LogPosition get() = LogPosition(epoch, offset)
+
+    /** The same record at another [position]. */
+    public fun at(position: LogPosition): SharedRecord =
+        when (this) {
+            is TargetRecord -> copy(offset = position.offset, epoch = position.epoch)
+            is PlanRecord -> copy(offset = position.offset, epoch = position.epoch)
+            is RolloutRecord -> copy(offset = position.offset, epoch = position.epoch)
+            is EvacuationRecord -> copy(offset = position.offset, epoch = position.epoch)
+            is VerdictRecord -> copy(offset = position.offset, epoch = position.epoch)
+        }
 }
 
 /** The latest heartbeat of a target, or null when the target was removed. */
@@ -38,6 +54,7 @@
     override val key: String,
     override val offset: Long,
     val target: RegisteredTarget?,
+    override val epoch: Long = 0,
 ) : SharedRecord {
     override val feed: Feed get() = Feed.TARGETS
 }
@@ -49,6 +66,7 @@
     override val key: String,
     override val offset: Long,
     val plan: RoutePlan,
+    override val epoch: Long = 0,
 ) : SharedRecord {
     override val feed: Feed get() = Feed.OPERATOR
 }
@@ -61,6 +79,7 @@
     override val offset: Long,
     val service: String,
     val order: RolloutOrder?,
+    override val epoch: Long = 0,
 ) : SharedRecord {
     override val feed: Feed get() = Feed.OPERATOR
 }
@@ -73,6 +92,7 @@
     override val offset: Long,
     val dataCentre: String,
     val evacuated: Boolean,
+    override val epoch: Long = 0,
 ) : SharedRecord {
     override val feed: Feed get() = Feed.OPERATOR
 }
@@ -85,6 +105,7 @@
     override val offset: Long,
     val service: String,
     val verdict: RolloutVerdict?,
+    override val epoch: Long = 0,
 ) : SharedRecord {
     override val feed: Feed get() = Feed.VERDICTS
 }
--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/machine/SharedState.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/machine/SharedState.kt
@@ -13,9 +13,12 @@
 /**
  * The records of the platform's store that one entry VM holds, merged from its own reads and from peers.
  *
- * Of two records with the same key, the one with the higher offset wins, whether read or received from a peer. The version of
- * the plan never decreases while the process runs. Confined to the entry VM's event loop. The state of the project's own
- * interface, built from the log, is `EnvironmentState`.
+ * Of two records with the same key, the one with the higher [LogPosition] wins, whether read or received from a peer. The version of
+ * the plan never decreases while the process runs, nor does a final verdict become open again. Confined to the entry VM's event
+ * loop. The state of the project's own interface, built from the log, is `EnvironmentState`.
+ *
+ * A store that was restored from an older copy lacks records until operators and targets have written them again. Within
+ * [REWRITE_GRACE] of its return, what is held is therefore not given up for what the copy has, or lacks.
  */
 public class SharedState(
     private val clock: Clock,
@@ -30,11 +33,19 @@
 
     private val held = LinkedHashMap<Pair<Feed, String>, HeldRecord>()
     private val completeThrough = HashMap<Feed, Long>()
+
+    /** Records that take effect after [rewriteGraceUntil] unless a later one of the same key arrives first. */
+    private val deferred = LinkedHashMap<Pair<Feed, String>, SharedRecord>()
+    private var rewriteGraceUntil = Duration.ZERO
     private var acceptsStaleLoad = false
     private val rolledBackVersions = HashSet<Pair<String, String>>()
     private val versionFirstSeen = HashMap<Pair<String, String>, Duration>()
     private var loadedAt: Duration? = null
 
+    /** The latest epoch of the store that is known; see [LogPosition]. */
+    public var epoch: Long = 0
+        private set
+
     /** Increases with every change of a record. */
     public var sequence: Long = 0
         private set
@@ -85,10 +96,10 @@
         loaded.complete(Unit)
     }
 
-    /** The offset up to which all records of [feed] are known here, or 0. */
-    public fun completeThrough(feed: Feed): Long = completeThrough[feed] ?: 0
+    /** By feed, the offset up to which all records of the present [epoch] are known here; without feeds not yet read in this epoch. */
+    public fun completeThrough(): Map<Feed, Long> = completeThrough.toMap()
 
-    /** Notes that all records of [feed] before the offset [end] were applied. */
+    /** Notes that all records of [feed] before the offset [end] of the present [epoch] were applied. */
     public fun markComplete(
         feed: Feed,
         end: Long,
@@ -96,14 +107,47 @@
         completeThrough.merge(feed, end, ::maxOf)
     }
 
-    /** Applies [record] if it is newer than the one held; returns false too if only the heartbeat number is new. */
+    /** Notes that the store has been seen in [newEpoch]; what is held of an earlier epoch may have to be written again. */
+    public fun enterEpoch(newEpoch: Long) {
+        if (newEpoch <= epoch) return
+        epoch = newEpoch
+        completeThrough.clear()
+        if (held.isNotEmpty()) awaitRewrites()
+    }
+
+    /** Defers removals of targets from now on for [REWRITE_GRACE], in which running targets register again after the store's outage. */
+    public fun awaitRewrites() {
+        rewriteGraceUntil = clock() + REWRITE_GRACE
+    }
+
+    /** How long until [record] takes effect if it was deferred, or null. */
+    public fun deferralOf(record: SharedRecord): Duration? =
+        (rewriteGraceUntil - clock()).takeIf { deferred[record.feed to record.key] === record }
+
+    /** Applies the records that were deferred once their time has come. */
+    public fun applyDeferred() {
+        if (deferred.isEmpty() || clock() < rewriteGraceUntil) return
+        val records = deferred.values.toList()
+        deferred.clear()
+        records.forEach { apply(it) }
+    }
+
+    /** Applies [record] if it is newer than the one held; returns false too if it only repeats it, or if it is deferred. */
     public fun apply(record: SharedRecord): Boolean {
+        enterEpoch(record.epoch)
         val id = record.feed to record.key
         val known = held[id]
-        if (known != null && known.record.offset >= record.offset) return false
-        // Unknown here although all records up to a later offset are known: a peer with an outdated copy still holds what was removed.
-        if (known == null && record.offset < completeThrough(record.feed)) return false
-        if (record is PlanRecord && record.plan.version <= (routes?.plan?.version ?: -1)) return false
+        if (!supersedes(record, known?.record)) return false
+        if (known != null && isDeferred(record, known.record)) {
+            deferred[id] = record
+            return false
+        }
+        deferred.remove(id)
+        // An order that is written again is the same order, and goes on.
+        if (known != null && known.record.at(record.position) == record) {
+            known.record = record
+            return false
+        }
         val knownTarget = (known?.record as? TargetRecord)?.target
         val target = (record as? TargetRecord)?.target
         if (knownTarget != null && target != null) {
@@ -134,8 +178,49 @@
         return true
     }
 
+    /** Whether [record] is to replace the one held of its key. */
+    private fun supersedes(
+        record: SharedRecord,
+        known: SharedRecord?,
+    ): Boolean {
+        if (record is PlanRecord) return record.plan.version > (routes?.plan?.version ?: -1)
+        // Unknown here although all records up to a later position are known: a peer with an outdated copy still holds what was removed.
+        if (known == null) return completeThrough[record.feed]?.let { record.position >= LogPosition(epoch, it) } ?: true
+        if (record.position <= known.position) return false
+        return known !is VerdictRecord || record !is VerdictRecord || !isReversal(record, known)
+    }
+
+    /** Whether [record] would take back the verdict of [known]: opens it again, or is what an older copy of the store has. */
+    private fun isReversal(
+        record: VerdictRecord,
+        known: VerdictRecord,
+    ): Boolean {
+        val isReopened = record.verdict?.targetVersion == known.verdict?.targetVersion && record.verdict?.isFinal == false
+        val isOlder = isUncertain(record, known) && record.offset < known.offset
+        return (isReopened && known.verdict?.isFinal == true) || (isOlder && known.at(record.position) != record)
+    }
+
+    private fun isDeferred(
+        record: SharedRecord,
+        known: SharedRecord,
+    ): Boolean {
+        if (clock() >= rewriteGraceUntil) return false
+        return when (record) {
+            is TargetRecord -> record.target == null && isReady(record.key)
+            is RolloutRecord, is EvacuationRecord -> isUncertain(record, known) && known.at(record.position) != record
+            is PlanRecord, is VerdictRecord -> false
+        }
+    }
+
+    /** Whether [record], of a later epoch than [known], may have been written before it, since the restored copy may have had it. */
+    private fun isUncertain(
+        record: SharedRecord,
+        known: SharedRecord,
+    ): Boolean = record.epoch > known.epoch && record.position < LogPosition(epoch, completeThrough[record.feed] ?: Long.MAX_VALUE)
+
     /** Whether the record held for the key of [record] is a later one. */
-    public fun holdsLaterThan(record: SharedRecord): Boolean = (held[record.feed to record.key]?.record?.offset ?: -1) > record.offset
+    public fun holdsLaterThan(record: SharedRecord): Boolean =
+        held[record.feed to record.key]?.let { it.record.position > record.position } ?: false
 
     /** Removal records for the held keys of [feed] that are not [present], the keys that the feed had at the offset [end]. */
     public fun removals(
@@ -145,17 +230,17 @@
     ): List<SharedRecord> =
         held.values
             .map { it.record }
-            .filter { it.feed == feed && it.offset < end && it.key !in present }
-            .mapNotNull { it.removedAt(end - 1) }
+            .filter { it.feed == feed && it.position < LogPosition(epoch, end) && it.key !in present }
+            .mapNotNull { it.removedAt(LogPosition(epoch, end - 1)) }
 
     /** Whether the target called [id] is registered and takes requests. */
     public fun isReady(id: String): Boolean = (held[Feed.TARGETS to id]?.record as? TargetRecord)?.target?.phase == TargetPhase.READY
 
-    private fun SharedRecord.removedAt(end: Long): SharedRecord? =
+    private fun SharedRecord.removedAt(position: LogPosition): SharedRecord? =
         when (this) {
-            is TargetRecord -> copy(offset = end, target = null).takeIf { target != null }
-            is EvacuationRecord -> copy(offset = end, evacuated = false).takeIf { evacuated }
-            is RolloutRecord -> copy(offset = end, order = null).takeIf { order != null }
+            is TargetRecord -> copy(target = null).at(position).takeIf { target != null }
+            is EvacuationRecord -> copy(evacuated = false).at(position).takeIf { evacuated }
+            is RolloutRecord -> copy(order = null).at(position).takeIf { order != null }
             is PlanRecord, is VerdictRecord -> null
         }
 
@@ -227,11 +312,11 @@
     private fun stateOf(entry: Map.Entry<String, RolloutRecord>): RolloutState {
         val (service, record) = entry
         val order = checkNotNull(record.order)
-        val decided = decidedRollouts[service]?.takeIf { it.orderOffset == record.offset }
+        val decided = decidedRollouts[service]?.takeIf { it.order == order }
         return when (verdict(service, order.targetVersion)?.outcome) {
-            RolloutOutcome.COMPLETED -> RolloutState(order, record.offset, RolloutPhase.COMPLETED)
-            RolloutOutcome.ROLLED_BACK -> RolloutState(order, record.offset, RolloutPhase.ROLLED_BACK)
-            else -> decided ?: RolloutState(order, record.offset, RolloutPhase.TRIAL)
+            RolloutOutcome.COMPLETED -> RolloutState(order, RolloutPhase.COMPLETED)
+            RolloutOutcome.ROLLED_BACK -> RolloutState(order, RolloutPhase.ROLLED_BACK)
+            else -> decided ?: RolloutState(order, RolloutPhase.TRIAL)
         }
     }
 
@@ -253,6 +338,9 @@
     internal companion object {
         /** Records younger than this are fresh; a leader's own records are at most as old as one poll and one call. */
         val FRESH_AGE = 1700.milliseconds
+
+        /** Running targets register again within two seconds after an outage of the store; the rest is the time to read their records. */
+        val REWRITE_GRACE = 2200.milliseconds
     }
 }
 
--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/machine/StoreReader.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/machine/StoreReader.kt
@@ -20,10 +20,10 @@
 ) {
     private val positions = HashMap<Feed, Long>()
     private val confirmations = HashMap<Feed, Duration>()
-    private val deferredRemovals = mutableListOf<SharedRecord>()
     private var failingSince: Duration? = null
     private var lastReadTook = Duration.ZERO
-    private var removalGraceUntil = Duration.ZERO
+
+    /** The epoch of the store that [positions] belong to, or null before the first answer; see [LogPosition]. */
     private var epoch: Long? = null
 
     /** The offset after the last verdict read. */
@@ -41,9 +41,7 @@
         val took = clock() - startedAt
         lastReadTook = took
         val operatorWait = (wait - took * 2).coerceAtLeast(Duration.ZERO)
-        val done = readNew(Feed.OPERATOR, operatorWait, operatorWait + LONG_POLL_MARGIN + took * 2)
-        applyDeferredRemovals()
-        return done
+        return readNew(Feed.OPERATOR, operatorWait, operatorWait + LONG_POLL_MARGIN + took * 2)
     }
 
     /**
@@ -55,13 +53,10 @@
     /** Loads the newest record of each key of every feed, the verdicts included; returns whether all feeds were read. */
     public suspend fun load(): Boolean =
         coroutineScope {
-            val done =
-                Feed.entries
-                    .map { async { load(it) } }
-                    .awaitAll()
-                    .all { it }
-            applyDeferredRemovals()
-            done
+            Feed.entries
+                .map { async { load(it) } }
+                .awaitAll()
+                .all { it }
         }
 
     /** Reads the verdicts written since the last read; returns whether the store answered. */
@@ -77,9 +72,11 @@
         val result = withTimeoutOrNull(timeout) { store.read(feed, position, wait) } ?: StoreResult.Unavailable("no answer")
         return when (result) {
             is StoreResult.Done -> {
+                if (isOutdated(result.value)) return recordFailure(feed, OUTDATED)
                 recordSuccess()
-                recordEpoch(result.value.epoch)
-                result.value.records.forEach { applyOrDefer(it) }
+                // The position belongs to a history that the store has lost: what it gave out again before the position is unknown.
+                if (enterEpoch(result.value.epoch)) return load()
+                apply(result.value)
                 state.markComplete(feed, result.value.end)
                 positions[feed] = result.value.end
                 confirmFeed(feed, if (result.value.records.isEmpty()) clock() - REPLY_LATENCY else askedAt)
@@ -94,14 +91,16 @@
         val askedAt = clock()
         val result = withTimeoutOrNull(LOAD_TIMEOUT) { store.newest(feed) } ?: StoreResult.Unavailable("no answer")
         if (result !is StoreResult.Done<StoreRecords>) return recordFailure(feed, result)
+        if (isOutdated(result.value)) return recordFailure(feed, OUTDATED)
         recordSuccess()
-        recordEpoch(result.value.epoch)
-        result.value.records.forEach { applyOrDefer(it) }
-        state.removals(feed, result.value.records.mapTo(HashSet()) { it.key }, result.value.end).forEach { applyOrDefer(it) }
+        enterEpoch(result.value.epoch)
+        val ignored = result.value.records.count { state.holdsLaterThan(it.at(LogPosition(result.value.epoch, it.offset))) }
+        apply(result.value)
+        state.removals(feed, result.value.records.mapTo(HashSet()) { it.key }, result.value.end).forEach { apply(it) }
         state.markComplete(feed, result.value.end)
         positions[feed] = result.value.end
         confirmFeed(feed, askedAt)
-        report(FleetEvent.Loaded(feed, result.value.records.size, result.value.end, result.value.records.count { state.holdsLaterThan(it) }))
+        report(FleetEvent.Loaded(feed, result.value.records.size, result.value.end, ignored))
         return true
     }
 
@@ -125,29 +124,28 @@
             failingSince = null
             report(FleetEvent.StoreReturned(clock() - since))
         }
-        if (state.confirmedAt != null && state.age() > OUTAGE_AGE) removalGraceUntil = clock() + REMOVAL_GRACE
+        if (state.confirmedAt != null && state.age() > OUTAGE_AGE) state.awaitRewrites()
     }
 
-    private fun recordEpoch(newEpoch: Long) {
-        val known = epoch
+    private fun isOutdated(records: StoreRecords): Boolean = records.epoch < (epoch ?: records.epoch)
+
+    /** Adopts the store's [newEpoch]; returns whether the positions of an earlier one were dropped. */
+    private fun enterEpoch(newEpoch: Long): Boolean {
+        val previous = epoch
         epoch = newEpoch
-        if (known != null && known != newEpoch) report(FleetEvent.StoreRestored(newEpoch, known))
+        state.enterEpoch(newEpoch)
+        if (previous == null || previous == newEpoch) return false
+        report(FleetEvent.StoreRestored(newEpoch, previous))
+        positions.clear()
+        confirmations.clear()
+        return true
     }
 
-    private fun applyOrDefer(record: SharedRecord) {
-        val isRemoval = record is TargetRecord && record.target == null
-        if (isRemoval && clock() < removalGraceUntil && state.isReady(record.key)) {
-            deferredRemovals += record
-            report(FleetEvent.RemovalDeferred(record.key, removalGraceUntil - clock()))
-        } else {
-            state.apply(record)
-        }
-    }
+    private fun apply(records: StoreRecords) = records.records.forEach { apply(it.at(LogPosition(records.epoch, it.offset))) }
 
-    private fun applyDeferredRemovals() {
-        if (deferredRemovals.isEmpty() || clock() < removalGraceUntil) return
-        deferredRemovals.forEach { state.apply(it) }
-        deferredRemovals.clear()
+    private fun apply(record: SharedRecord) {
+        state.apply(record)
+        state.deferralOf(record)?.let { report(FleetEvent.RecordDeferred(record.feed, record.key, it)) }
     }
 
     /** Records that [feed] was read up to its end at [time]; the age of the state is that of the older of the two feeds polled. */
@@ -162,6 +160,8 @@
     }
 
     private companion object {
+        val OUTDATED = StoreResult.Unavailable("an answer from before the store was restored")
+
         /**
          * How long a long poll may take beyond its wait plus twice the time of the read before it.
          *
@@ -188,9 +188,6 @@
          */
         val OUTAGE_AGE = 3000.milliseconds
 
-        /** Running targets register again within two seconds after an outage of the store; the rest is the time to read their records. */
-        val REMOVAL_GRACE = 2200.milliseconds
-
         /** An empty reply was correct when the store sent it: at most this long ago, unless the store is slow. */
         val REPLY_LATENCY = 20.milliseconds
     }
@@ -227,9 +224,15 @@
         val away: Duration,
     ) : FleetEvent
 
-    /** A [target] that was removed stays in use for the duration [grace], since it may register again after the store's outage. */
-    public data class RemovalDeferred(
-        val target: String,
+    /**
+     * What is held under [key] holds for the duration [grace] longer, though the store has another record or none.
+     *
+     * After an outage of the store, targets that were removed may register again. After it was restored from an older copy, operators
+     * write again what it lacks.
+     */
+    public data class RecordDeferred(
+        val feed: Feed,
+        val key: String,
         val grace: Duration,
     ) : FleetEvent
 
--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/move/Rollout.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/move/Rollout.kt
@@ -58,13 +58,11 @@
 /**
  * A rollout as the entry VMs know it.
  *
- * @property orderOffset the offset of the order in the store; a fencing token between successive orders of one service.
  * @property share the share of the service's requests that the new version gets, from 0 to 1.
  */
 @Serializable
 public data class RolloutState(
     val order: RolloutOrder,
-    val orderOffset: Long,
     val phase: RolloutPhase,
     val share: Double = phase.share,
 )
--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/move/RolloutController.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/move/RolloutController.kt
@@ -34,7 +34,7 @@
      * @property traffic the counts of the service's requests by which its rate is measured, while it is not known.
      */
     private class Progress(
-        val orderOffset: Long,
+        val order: RolloutOrder,
         var phase: RolloutPhase,
         var share: Double,
         var since: Duration,
@@ -54,6 +54,7 @@
         counts: List<VersionCount>,
         memberCount: Int,
     ) {
+        progress.keys.retainAll(state.orders().keys)
         for ((service, rollout) in state.rollouts()) {
             if (state.verdict(service, rollout.order.targetVersion)?.isFinal == true) continue
             advance(service, rollout, sumByRoute(counts.filter { it.service == service }), memberCount)
@@ -64,7 +65,7 @@
     private fun shareProgress() {
         state.setRollouts(
             state.rollouts().map { (service, rollout) ->
-                val current = progress[service]?.takeIf { it.orderOffset == rollout.orderOffset }
+                val current = progress[service]?.takeIf { it.order == rollout.order }
                 if (current == null) rollout else rollout.copy(phase = current.phase, share = current.share)
             },
         )
@@ -78,8 +79,8 @@
     ) {
         val now = clock()
         val current =
-            progress[service]?.takeIf { it.orderOffset == rollout.orderOffset }
-                ?: Progress(rollout.orderOffset, rollout.phase, rollout.share, now).also { progress[service] = it }
+            progress[service]?.takeIf { it.order == rollout.order }
+                ?: Progress(rollout.order, rollout.phase, rollout.share, now).also { progress[service] = it }
         val isAnnounced = state.verdict(service, rollout.order.targetVersion) != null
         if (!isAnnounced) writeOutcome(service, rollout, RolloutOutcome.RUNNING)
         if (current.phase == RolloutPhase.ROLLED_BACK) {
--- a/goldcrestquay/src/test/kotlin/dev/goldcrestquay/machine/SharedStateTest.kt
+++ b/goldcrestquay/src/test/kotlin/dev/goldcrestquay/machine/SharedStateTest.kt
@@ -89,7 +89,7 @@
     fun `a verdict in the store takes precedence over the phases that peers report`() {
         val order = RolloutOrder("shop", "v2", 12.seconds)
         state.apply(RolloutRecord("rollout/shop", 4, "shop", order))
-        state.setRollouts(listOf(RolloutState(order, 4, RolloutPhase.SHIFTED)))
+        state.setRollouts(listOf(RolloutState(order, RolloutPhase.SHIFTED)))
         state.rollouts().getValue("shop").phase shouldBe RolloutPhase.SHIFTED
         state.apply(VerdictRecord("rollout/shop", 0, "shop", RolloutVerdict("v2", RolloutOutcome.ROLLED_BACK)))
         state.rollouts().getValue("shop").phase shouldBe RolloutPhase.ROLLED_BACK
