Write the verdicts again that a restored store has lost

After a restore from a copy without the verdict on a rollout, the store had none or still said that the rollout runs: the operator would have found a completed version running past its time limit, and an entry VM that starts without peers would have put a rolled-back version on trial again.

Cause: an acknowledged write was taken to be there for good. Change: a verdict held from an earlier epoch, which the present one does not have once its verdicts were read, is written again by the leader, under the condition that no other was written since its last read.

--- a/goldcrestquay-platform-standins/src/main/kotlin/dev/goldcrestquay/standins/platform/StoreStandIn.kt
+++ b/goldcrestquay-platform-standins/src/main/kotlin/dev/goldcrestquay/standins/platform/StoreStandIn.kt
@@ -61,6 +61,9 @@
     /** Decides how a call to a path fails; null when the call is served. */
     var fault: (path: String) -> StoreFault? = { null }
 
+    /** Rises by one with each [restore]; every response states it. */
+    private var epoch = 1
+
     /** The number of calls received so far, by path. */
     val callsByPath = HashMap<String, Int>()
 
@@ -106,6 +109,15 @@
             ?.value
             ?.decodeToString()
 
+    /** Returns to a copy that has only the first [size] records of [topic], as after a restore from a backup. */
+    fun restore(
+        topic: String,
+        size: Int,
+    ) {
+        topic(topic).run { synchronized(this) { records.subList(size, records.size).clear() } }
+        epoch++
+    }
+
     /** Simulates compaction: `/log-read` no longer accepts offsets before the current end, while `/log-newest` still returns all keys. */
     fun compact(topic: String) {
         topic(topic).run { firstOffset = records.size }
@@ -114,6 +126,7 @@
     private fun topic(name: String): Topic = synchronized(topics) { topics.getOrPut(name) { Topic() } }
 
     private fun handle(request: HttpServerRequest) {
+        request.response().putHeader("Store-Era", epoch.toString())
         synchronized(callsByPath) { callsByPath.merge(request.path(), 1, Int::plus) }
         when (fault(request.path())) {
             StoreFault.REFUSED -> request.response().setStatusCode(503).end()
@@ -169,7 +182,7 @@
 
     /**
      * Responds with the records from offset `from` on; when there are none, holds the response until a record is written, for at most
-     * `wait_ms` milliseconds. Responds with 410 when `from` is before the lowest readable offset.
+     * `wait_ms` milliseconds. Responds with 410 when `from` is before the lowest readable offset or after the end.
      */
     private fun read(
         request: HttpServerRequest,
@@ -178,7 +191,7 @@
     ) {
         val fromOffset = request.getParam("from").toInt()
         val waitMilliseconds = request.getParam("wait_ms")?.toLong() ?: 0
-        if (fromOffset < topic.firstOffset) {
+        if (fromOffset < topic.firstOffset || fromOffset > topic.records.size) {
             send { request.response().setStatusCode(410).end("""{"first":${topic.firstOffset}}""") }
             return
         }
--- a/goldcrestquay-platform-standins/src/test/kotlin/dev/goldcrestquay/standins/platform/EdgeContractTest.kt
+++ b/goldcrestquay-platform-standins/src/test/kotlin/dev/goldcrestquay/standins/platform/EdgeContractTest.kt
@@ -249,6 +249,17 @@
                 ?.version shouldBe 9
         }
 
+    /** The plan after the restore has the offset of the one that the store lost. */
+    @Test
+    fun `a plan written after the store was restored changes a route`() =
+        withEntryVm {
+            store.write("keyed.op", "config", DeploymentDocuments.plan(version = 5, service = "gone"))
+            waitUntil { call("/safe/x").statusCode() == 503 }
+            store.restore("keyed.op", size = 1)
+            store.write("keyed.op", "config", DeploymentDocuments.plan(version = 9, service = "shop"))
+            waitUntil { call("/safe/x").statusCode() == 200 }
+        }
+
     @Test
     fun `draining targets and targets of an evacuated data centre get no new requests`() =
         withEntryVm {
--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/machine/FleetReplicator.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/machine/FleetReplicator.kt
@@ -212,9 +212,10 @@
     }
 
     private suspend fun decideRollouts() {
-        if (state.orders().isEmpty()) return
+        if (state.orders().isEmpty() && state.lostVerdicts().isEmpty()) return
         rolloutDecisions.withLock {
             val counts = evidence.countsOf(state.orders().keys).values.flatten()
+            parts.controller.rewriteLostVerdicts()
             parts.controller.step(counts, members.alive.size)
         }
     }
--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/machine/SharedState.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/machine/SharedState.kt
@@ -294,6 +294,12 @@
             ?.verdict
             ?.takeIf { it.targetVersion == version }
 
+    /** The verdicts held that the store has lost: those that its present epoch does not have, once its verdicts were read. */
+    public fun lostVerdicts(): List<VerdictRecord> {
+        if (Feed.VERDICTS !in completeThrough) return emptyList()
+        return held.values.mapNotNull { it.record as? VerdictRecord }.filter { it.epoch < epoch && it.verdict != null }
+    }
+
     /** Whether [version] of [service] was rolled back, so that it gets no requests after its order was withdrawn or replaced. */
     public fun isRolledBack(
         service: String,
--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/move/RolloutController.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/move/RolloutController.kt
@@ -62,6 +62,15 @@
         shareProgress()
     }
 
+    /** Writes again the verdicts that the store has lost, since the operator and entry VMs that start go by what it has. */
+    public suspend fun rewriteLostVerdicts() {
+        for (lost in state.lostVerdicts()) {
+            if (!refreshVerdicts()) return
+            val verdict = lost.verdict
+            if (lost in state.lostVerdicts() && verdict != null) write(lost.service, verdict)
+        }
+    }
+
     private fun shareProgress() {
         state.setRollouts(
             state.rollouts().map { (service, rollout) ->
@@ -162,13 +171,20 @@
         val written = state.verdict(service, rollout.order.targetVersion)?.outcome
         if (written == outcome) return true
         if (state.verdict(service, rollout.order.targetVersion)?.isFinal == true) return false
-        val verdict = RolloutVerdict(rollout.order.targetVersion, outcome)
+        return write(service, RolloutVerdict(rollout.order.targetVersion, outcome))
+    }
+
+    /** Writes [verdict] to the store unless another one was written since the last read. */
+    private suspend fun write(
+        service: String,
+        verdict: RolloutVerdict,
+    ): Boolean {
         val result = store.writeVerdict(service, verdict, verdictsEndOffset())
         if (result is StoreResult.Done) {
-            state.apply(VerdictRecord("rollout/$service", result.value, service, verdict))
+            state.apply(VerdictRecord("rollout/$service", result.value, service, verdict, state.epoch))
             return true
         }
-        report(FleetEvent.RolloutStep(service, rollout.order.targetVersion, outcome.name, "verdict not written: $result"))
+        report(FleetEvent.RolloutStep(service, verdict.targetVersion, verdict.outcome.name, "verdict not written: $result"))
         return false
     }
 
