Log what a request asked for when its target's connection was lost

The logs name neither path nor content, so they could not tell a request that ends targets from targets that end by themselves. `AttemptEnded` of a lost connection now has a hash of method, host, path, query and body; it is computed only then. No decision depends on it.

--- a/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/DecisionLog.kt
+++ b/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/DecisionLog.kt
@@ -129,6 +129,7 @@
                 put("target", event.target.id)
                 put("result", event.result)
                 put("took_ms", event.took.inWholeMilliseconds)
+                event.fingerprint?.let { put("fingerprint", it.toULong().toString(HEXADECIMAL_RADIX)) }
             }
             is ForwardEvent.Ended -> {
                 put("route", event.route)
@@ -187,6 +188,7 @@
         /** Holds one second of decisions at several times the usual load. */
         const val QUEUE_CAPACITY = 2048
 
+        const val HEXADECIMAL_RADIX = 16
         const val FLUSH_TIMEOUT_MILLISECONDS = 50L
 
         /**
--- a/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/EdgeServer.kt
+++ b/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/EdgeServer.kt
@@ -10,6 +10,7 @@
 import dev.goldcrestquay.routing.ForwardOutcome
 import dev.goldcrestquay.routing.ForwardRequest
 import dev.goldcrestquay.routing.RequestForwarder
+import dev.goldcrestquay.routing.requestFingerprint
 import io.vertx.core.Vertx
 import io.vertx.core.buffer.Buffer
 import io.vertx.core.http.HttpConnection
@@ -17,6 +18,11 @@
 import io.vertx.core.http.HttpServerRequest
 import io.vertx.core.http.HttpServerResponse
 import io.vertx.kotlin.coroutines.coAwait
+import java.util.Locale
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.DurationUnit
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.CoroutineScope
@@ -26,11 +32,6 @@
 import kotlinx.coroutines.withTimeoutOrNull
 import kotlinx.serialization.json.Json
 import org.apache.logging.log4j.LogManager
-import java.util.Locale
-import kotlin.time.Duration
-import kotlin.time.Duration.Companion.milliseconds
-import kotlin.time.Duration.Companion.seconds
-import kotlin.time.DurationUnit
 
 private typealias Forwarder = RequestForwarder<OriginConnection, EdgeReply>
 
@@ -163,6 +164,7 @@
                     arrivedAt = arrivedAt,
                     deadline = deadline,
                     send = { target, connection, remaining -> targets.send(outgoing, target, connection, remaining) },
+                    computeFingerprint = { requestFingerprint(outgoing.method, request.getHeader("host").orEmpty(), outgoing.uri, body) },
                 )
             this.forward = forward
             isForwarding = true
--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/routing/ForwardOutcome.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/routing/ForwardOutcome.kt
@@ -42,6 +42,7 @@
  * @property path the path without the query.
  * @property deadline how long the caller waits, counted from [arrivedAt]; null if the request states no deadline.
  * @property send sends the request over the given connection, or over a new one if that is null; the duration is the time left.
+ * @param computeFingerprint returns a hash of the method, host, path, query and body: the same for each attempt at the same request.
  */
 public class ForwardRequest<Connection, Reply>(
     public val id: String,
@@ -51,7 +52,11 @@
     public val arrivedAt: Duration,
     public val deadline: Duration?,
     public val send: suspend (RegisteredTarget, Connection?, Duration) -> SendResult<Reply>,
+    computeFingerprint: () -> Long,
 ) {
+    /** Identifies what is asked for: the same when a caller asks again, also at another entry VM. */
+    public val fingerprint: Long by lazy(LazyThreadSafetyMode.NONE, computeFingerprint)
+
     /** Whether the caller still waits; once it has left, no further attempt is sent. */
     public var isCallerWaiting: Boolean = true
 
@@ -116,12 +121,14 @@
      * An attempt ended at its target.
      *
      * @property result `replied`, `failed`, or the name of the refusal or result code.
+     * @property fingerprint identifies the content of the request when the target ended with it, otherwise null.
      */
     public data class AttemptEnded(
         override val request: String,
         val target: RegisteredTarget,
         val result: String,
         val took: Duration,
+        val fingerprint: Long? = null,
     ) : ForwardEvent
 
     /**
--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/routing/RequestForwarder.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/routing/RequestForwarder.kt
@@ -165,7 +165,8 @@
                 }
             }
             val took = clock() - started
-            report(ForwardEvent.AttemptEnded(request.id, target, resultName(result), took))
+            val lost = result is SendResult.Broken && result.code == ResultCode.CONNECTION_LOST
+            report(ForwardEvent.AttemptEnded(request.id, target, resultName(result), took, if (lost) request.fingerprint else null))
             recordResult(chosen, tickets, result, took)
             recordRequestLimit(chosen.candidate, result)
             return outcomeOf(target, result)
--- a/goldcrestquay/src/test/kotlin/dev/goldcrestquay/routing/RequestForwarderTest.kt
+++ b/goldcrestquay/src/test/kotlin/dev/goldcrestquay/routing/RequestForwarderTest.kt
@@ -76,7 +76,7 @@
         ForwardRequest("r1", "shop.example", "/${kind.name.lowercase()}/x", 0, currentTime.milliseconds, deadline, { target, _, _ ->
             sentTo += target.id
             send(target)
-        })
+        }) { 1 }
 
     private val threeTargets = listOf("a", "b", "c").map { registeredTarget(it) }
 
@@ -299,7 +299,7 @@
         runTest {
             val forwarder = forwarder(threeTargets)
             val unroutable =
-                ForwardRequest<String, String>("r", "shop.example", "/none/", 0, Duration.ZERO, null) { _, _, _ -> SendResult.Broken() }
+                ForwardRequest<String, String>("r", "shop.example", "/none/", 0, Duration.ZERO, null, { _, _, _ -> SendResult.Broken() }) { 1 }
             forwarder.forward(unroutable).shouldBeInstanceOf<ForwardOutcome.NotRun>().code shouldBe ResultCode.NO_ROUTE
         }
 }
