Block a request that ends one target after the other

Cause: a lost connection was taken for a fault of the target alone. Each entry VM tried the request at the next target, and nothing was remembered of it over attempts, repeats and entry VMs. The class: a retry that carries its cause along. Change: CrashTable counts, by a hash of method, host, path, query and body, how many targets ended one after the other. Entry VMs tell each other at once, in the exchange that they have; its held replies are released.

With no suspicion no hash is computed.

--- a/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/DecisionLog.kt
+++ b/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/DecisionLog.kt
@@ -129,7 +129,10 @@
                 put("target", event.target.id)
                 put("result", event.result)
                 put("took_ms", event.took.inWholeMilliseconds)
-                event.fingerprint?.let { put("fingerprint", it.toULong().toString(HEXADECIMAL_RADIX)) }
+                event.suspicion?.let {
+                    put("fingerprint", it.fingerprint.toULong().toString(HEXADECIMAL_RADIX))
+                    put("crashes", it.crashes)
+                }
             }
             is ForwardEvent.Ended -> {
                 put("route", event.route)
--- a/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/EdgeServer.kt
+++ b/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/EdgeServer.kt
@@ -18,11 +18,6 @@
 import io.vertx.core.http.HttpServerRequest
 import io.vertx.core.http.HttpServerResponse
 import io.vertx.kotlin.coroutines.coAwait
-import java.util.Locale
-import kotlin.time.Duration
-import kotlin.time.Duration.Companion.milliseconds
-import kotlin.time.Duration.Companion.seconds
-import kotlin.time.DurationUnit
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.CoroutineScope
@@ -32,6 +27,11 @@
 import kotlinx.coroutines.withTimeoutOrNull
 import kotlinx.serialization.json.Json
 import org.apache.logging.log4j.LogManager
+import java.util.Locale
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.DurationUnit
 
 private typealias Forwarder = RequestForwarder<OriginConnection, EdgeReply>
 
--- a/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/GatewayNode.kt
+++ b/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/GatewayNode.kt
@@ -13,6 +13,7 @@
 import dev.goldcrestquay.move.RolloutController
 import dev.goldcrestquay.move.VersionEvidence
 import dev.goldcrestquay.routing.ColdTargetLimiter
+import dev.goldcrestquay.routing.CrashTable
 import dev.goldcrestquay.routing.FleetRetryBudget
 import dev.goldcrestquay.routing.ForwardEvent
 import dev.goldcrestquay.routing.ForwarderTables
@@ -105,6 +106,7 @@
     private val callClient = HttpCallClient(pool)
     private val peers = PeerExchange(callClient, scope)
     private val evidence = VersionEvidence(clock)
+    private val crashes = CrashTable(clock)
     private val storeLink = store(callClient)
 
     /** The records of the store that this entry VM holds. */
@@ -118,7 +120,7 @@
         RolloutController(state, storeLink, { storeReader.verdictsEndOffset }, { storeReader.readVerdicts() }, clock, reports.fleet)
     private val replicator =
         FleetReplicator(
-            ReplicatorParts(state, members, storeReader, peers::ask, evidence, controller),
+            ReplicatorParts(state, members, storeReader, peers::ask, evidence, controller, crashes),
             { settings.seeds },
             "${settings.self.name}/${settings.self.incarnation}",
             clock,
@@ -133,7 +135,7 @@
     private val targetExchange = TargetExchange(pool, protocol)
     private val probeBudget = ProbeBudget({ settings.probesPerSecond }, clock) { members.largestCount.takeIf { isSettled } }
     private val sampler = TargetSampler(clock, random, scope, probeBudget, targetExchange::probe, pool::release)
-    private val forwarderTables = ForwarderTables(state, targetTable, retryBudget, SplitChooser(random), evidence)
+    private val forwarderTables = ForwarderTables(state, targetTable, retryBudget, SplitChooser(random), evidence, crashes)
     private val forwarder = RequestForwarder<OriginConnection, EdgeReply>(forwarderTables, sampler, clock, random, reports.request)
     private val edgeServer = EdgeServer(vertx, state, protocol, targetExchange, forwarder, clock, scope)
 
--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/contract/ResultCode.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/contract/ResultCode.kt
@@ -71,6 +71,12 @@
     NO_ROUTE(2013, ResultKind.NOT_RUN, "No route matches the host and path.", "Check the request against the plan in force."),
     TARGET_REFUSED(2014, ResultKind.NOT_RUN, "The target refused the request and no other may be tried.", "Send the call again later."),
     LEAVING(2015, ResultKind.NOT_RUN, "The entry VM is about to stop.", "Use another entry VM."),
+    BLOCKED(
+        2016,
+        ResultKind.NOT_RUN,
+        "Targets ended one after the other when they ran this request.",
+        "Find out at the targets why they end; the request is tried again after some minutes.",
+    ),
 
     CONNECTION_LOST(3001, ResultKind.UNKNOWN, "The connection broke after the call was sent.", "Find out at the target whether it ran."),
     DEADLINE_EXCEEDED(3002, ResultKind.UNKNOWN, "The deadline passed after the call was sent.", "Find out at the target whether it ran."),
--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/machine/FleetExchange.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/machine/FleetExchange.kt
@@ -2,6 +2,7 @@
 
 import dev.goldcrestquay.move.RolloutState
 import dev.goldcrestquay.move.VersionCount
+import dev.goldcrestquay.routing.CrashSuspicion
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
 
@@ -30,6 +31,7 @@
  * @property sequence the last change of a record that was replicated.
  * @property membersVersion the version of the process's member list, or null when the list held comes from another process.
  * @property confirmations how often the process has confirmed that its records match the store.
+ * @property crashesVersion the last change of what the process knows about requests that end targets.
  */
 @Serializable
 public data class ReplicationPosition(
@@ -37,6 +39,7 @@
     val sequence: Long,
     val membersVersion: Long?,
     val confirmations: Long = 0,
+    val crashesVersion: Long = 0,
 )
 
 /**
@@ -47,6 +50,7 @@
  * @property observed the members whose heartbeats reach the sender, or null when they are those of its last request.
  * @property evidence the answers counted by version during rollouts, by process: the sender's own and those reported to it.
  * @property isLeader whether the sender reads the store.
+ * @property crashes what the sender has learned since its last request about requests that end targets.
  */
 @Serializable
 public data class ExchangeRequest(
@@ -58,6 +62,7 @@
     val evidence: Map<String, List<VersionCount>> = emptyMap(),
     @SerialName("isReader")
     val isLeader: Boolean = false,
+    val crashes: List<CrashSuspicion> = emptyList(),
 )
 
 /**
@@ -71,6 +76,7 @@
  * @property completeThrough by feed, the offset up to which the peer knows all records of the [epoch].
  * @property knowsObserved whether the peer still knows which members the sender observes.
  * @property epoch the latest epoch of the store that the peer knows; see [LogPosition].
+ * @property crashes what the peer has learned about requests that end targets.
  */
 @Serializable
 public data class ExchangeReply(
@@ -88,6 +94,7 @@
     val rollouts: List<RolloutState>,
     val completeThrough: Map<Feed, Long> = emptyMap(),
     val epoch: Long = 0,
+    val crashes: List<CrashSuspicion> = emptyList(),
 )
 
 /**
--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/machine/FleetReplicator.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/machine/FleetReplicator.kt
@@ -6,9 +6,11 @@
 import dev.goldcrestquay.move.RolloutPhase
 import dev.goldcrestquay.move.RolloutState
 import dev.goldcrestquay.move.VersionEvidence
+import dev.goldcrestquay.routing.CrashTable
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.cancelChildren
+import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.joinAll
@@ -28,6 +30,7 @@
     public val exchange: ExchangeLink,
     public val evidence: VersionEvidence,
     public val controller: RolloutController,
+    public val crashes: CrashTable,
 )
 
 /**
@@ -59,6 +62,7 @@
     private var signalledPosition = ReplicationPosition(process, 0, 0)
     private var signalledRollouts = mapOf<String, RolloutState>()
     private val rolloutDecisions = Mutex()
+    private val ownCrashes = Channel<Unit>(Channel.CONFLATED)
     private var confirmations = 0L
     private var leaderCheckedAt = Duration.ZERO
     private var failedPolls = 0
@@ -73,9 +77,11 @@
 
     /** Loads the records once, so that this entry VM can serve before it knows its peers, then leads or follows until cancelled. */
     public suspend fun run() {
+        parts.crashes.onOwnChange = { ownCrashes.trySend(Unit) }
         start()
         coroutineScope {
             launch { watchShiftedRollouts() }
+            launch { announceCrashes() }
             while (true) {
                 members.expire()
                 state.applyDeferred()
@@ -108,6 +114,18 @@
         }
     }
 
+    /** Tells the peers without delay what this entry VM learns about requests that end targets: callers repeat them elsewhere at once. */
+    private suspend fun announceCrashes() {
+        for (change in ownCrashes) {
+            runStep {
+                signal()
+                val source = leader?.takeIf { it != selfAddress }?.let { sourceFor(it) }
+                if (source != null) ask(source, Duration.ZERO)
+            }
+            delay(CRASH_ANNOUNCEMENT_INTERVAL)
+        }
+    }
+
     private fun isShifting(): Boolean = state.rollouts().values.any { it.phase == RolloutPhase.SHIFTED || it.share == RAMP_SHARE }
 
     /** Notifies peers without delay that this entry VM is leaving. */
@@ -121,6 +139,7 @@
         val receivedAt = clock()
         members.recordHeartbeat(request.sender, request.observed)
         evidence.merge(request.evidence)
+        if (parts.crashes.merge(request.crashes, request.sender.peerAddress)) signal()
         if (request.isLeader && (leader == null || isStale())) changeLeader(request.sender.peerAddress)
         val known = request.known?.takeIf { it.process == process }
         if (known == position()) {
@@ -139,6 +158,7 @@
             rollouts = state.rollouts().values.toList(),
             completeThrough = state.completeThrough(),
             epoch = state.epoch,
+            crashes = parts.crashes.changesAfter(known?.crashesVersion ?: 0, request.sender.peerAddress),
         )
     }
 
@@ -359,7 +379,9 @@
         val observed =
             if (isLeader) emptyList() else members.observedExceptVia(peer).takeIf { progress?.observedVersion != observedVersion }
         val known = progress?.position?.let { if (members.listSource == peer) it else it.copy(membersVersion = null) }
-        val request = ExchangeRequest(members.self, known, hold.inWholeMilliseconds, observed, reportedCounts, isLeader)
+        val crashesVersion = parts.crashes.version
+        val crashes = parts.crashes.changesAfter(progress?.crashesVersion ?: 0, peer)
+        val request = ExchangeRequest(members.self, known, hold.inWholeMilliseconds, observed, reportedCounts, isLeader, crashes)
         val reply = withTimeoutOrNull(hold + REPLY_MARGIN) { parts.exchange(peer, request) }
         if (reply == null) {
             peers.clearProgress(peer)
@@ -368,7 +390,12 @@
         }
         peers.recordProgress(
             peer,
-            PeerTable.Progress(reply.position, if (isLeader || !reply.knowsObserved) NO_VERSION else observedVersion),
+            PeerTable.Progress(
+                position = reply.position,
+                observedVersion = if (isLeader || !reply.knowsObserved) NO_VERSION else observedVersion,
+                // A peer that has restarted has only what this request brought.
+                crashesVersion = if (progress == null || progress.position.process == reply.position.process) crashesVersion else 0,
+            ),
         )
         enterEpoch(reply.epoch)
         if (progress?.position?.process != reply.position.process) removeMissing(reply)
@@ -400,6 +427,7 @@
         reply.records.forEach { state.apply(it) }
         if (reply.epoch == state.epoch) reply.completeThrough.forEach { (feed, end) -> state.markComplete(feed, end) }
         reply.ageMilliseconds?.let { state.confirm(askedAt + reply.heldMilliseconds.milliseconds - it.milliseconds) }
+        parts.crashes.merge(reply.crashes, peer)
         if (!isLeader) {
             reply.members?.let { members.applyChanges(peer, it) }
             state.setRollouts(reply.rollouts)
@@ -422,7 +450,7 @@
         changeSignal = CompletableDeferred()
     }
 
-    private fun position() = ReplicationPosition(process, state.sequence, members.version, confirmations)
+    private fun position() = ReplicationPosition(process, state.sequence, members.version, confirmations, parts.crashes.version)
 
     private fun isFresh(reply: ExchangeReply): Boolean = (reply.ageMilliseconds ?: Long.MAX_VALUE) < FRESH_AGE.inWholeMilliseconds
 
@@ -474,6 +502,9 @@
 
         val RETRY_PAUSE = 100.milliseconds
 
+        /** The shortest time between two announcements; many connections are lost at once when a target ends. */
+        val CRASH_ANNOUNCEMENT_INTERVAL = 50.milliseconds
+
         /** The leader's backoff between failed polls doubles this often, to 400 ms. */
         const val MAXIMUM_DOUBLINGS = 2
 
--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/machine/PeerTable.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/machine/PeerTable.kt
@@ -7,10 +7,16 @@
 internal class PeerTable(
     private val clock: Clock,
 ) {
-    /** How far a peer's records were replicated, and the [version][FleetMembers.observedVersion] of the members reported to it. */
+    /**
+     * How far a peer's records were replicated, and what was reported to it.
+     *
+     * @property observedVersion the [version][FleetMembers.observedVersion] of the members reported to the peer.
+     * @property crashesVersion the version of the crash table reported to the peer.
+     */
     class Progress(
         val position: ReplicationPosition,
         val observedVersion: Long,
+        val crashesVersion: Long,
     )
 
     private val excludedUntil = HashMap<SocketAddress, Duration>()
--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/routing/ForwardOutcome.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/routing/ForwardOutcome.kt
@@ -65,6 +65,12 @@
         internal set
 }
 
+/** A request under which a target ended: its [fingerprint], and how many [crashes] in a row are known; see [CrashTable]. */
+public data class Suspicion(
+    val fingerprint: Long,
+    val crashes: Int,
+)
+
 /** A decision about a request, for logs and metrics. */
 public sealed interface ForwardEvent {
     /** The request's identifier. */
@@ -121,14 +127,14 @@
      * An attempt ended at its target.
      *
      * @property result `replied`, `failed`, or the name of the refusal or result code.
-     * @property fingerprint identifies the content of the request when the target ended with it, otherwise null.
+     * @property suspicion what is known about the request when the connection was lost, otherwise null.
      */
     public data class AttemptEnded(
         override val request: String,
         val target: RegisteredTarget,
         val result: String,
         val took: Duration,
-        val fingerprint: Long? = null,
+        val suspicion: Suspicion? = null,
     ) : ForwardEvent
 
     /**
--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/routing/RequestForwarder.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/routing/RequestForwarder.kt
@@ -21,6 +21,7 @@
     public val budget: FleetRetryBudget,
     public val splits: SplitChooser,
     public val evidence: VersionEvidence,
+    public val crashes: CrashTable,
 )
 
 /**
@@ -107,6 +108,7 @@
             for (attempt in 1..route.maximumAttempts.coerceAtLeast(1)) {
                 if (!request.isCallerWaiting) return ForwardOutcome.Unknown(ResultCode.CALL_CANCELLED)
                 if (remaining < MINIMUM_TIME_LEFT) return if (attempt == 1) notRun(ResultCode.DEADLINE_PASSED) else last
+                blockedFor()?.let { return combineOutcomes(last, ForwardOutcome.NotRun(ResultCode.BLOCKED, it)) }
                 val candidates = tables.targets.candidates(service.name, tried)
                 if (candidates.isEmpty()) return last
                 if (attempt > 1 && !tables.budget.tryTake(service.name)) return last
@@ -122,6 +124,8 @@
             return last
         }
 
+        private fun blockedFor(): Duration? = if (tables.crashes.isEmpty) null else tables.crashes.blockedFor(request.fingerprint)
+
         /** Combines the outcomes of two attempts: once a request may have run, its outcome is never [ForwardOutcome.NotRun]. */
         private fun combineOutcomes(
             earlier: ForwardOutcome<Reply>,
@@ -148,6 +152,7 @@
             val health = chosen.candidate.health
             tried += target.id
             tables.targets.recordSend(chosen.candidate)
+            val crashesBefore = if (tables.crashes.isEmpty) 0 else tables.crashes.crashes(request.fingerprint)
             val tickets = Tickets(health.recordSend(expected), tables.evidence.recordSend(target, route.name))
             val started = clock()
             val left = remaining
@@ -166,7 +171,10 @@
             }
             val took = clock() - started
             val lost = result is SendResult.Broken && result.code == ResultCode.CONNECTION_LOST
-            report(ForwardEvent.AttemptEnded(request.id, target, resultName(result), took, if (lost) request.fingerprint else null))
+            if (lost) tables.crashes.recordCrash(request.fingerprint, crashesBefore)
+            if (result is SendResult.Replied && !tables.crashes.isEmpty) tables.crashes.recordAnswer(request.fingerprint)
+            val suspicion = if (lost) Suspicion(request.fingerprint, tables.crashes.crashes(request.fingerprint)) else null
+            report(ForwardEvent.AttemptEnded(request.id, target, resultName(result), took, suspicion))
             recordResult(chosen, tickets, result, took)
             recordRequestLimit(chosen.candidate, result)
             return outcomeOf(target, result)
--- a/goldcrestquay/src/test/kotlin/dev/goldcrestquay/machine/FakeFleet.kt
+++ b/goldcrestquay/src/test/kotlin/dev/goldcrestquay/machine/FakeFleet.kt
@@ -3,6 +3,7 @@
 import dev.goldcrestquay.fleetMember
 import dev.goldcrestquay.move.RolloutController
 import dev.goldcrestquay.move.VersionEvidence
+import dev.goldcrestquay.routing.CrashTable
 import kotlinx.coroutines.ExperimentalCoroutinesApi
 import kotlinx.coroutines.Job
 import kotlinx.coroutines.awaitCancellation
@@ -25,6 +26,7 @@
         val members: FleetMembers,
         val evidence: VersionEvidence,
         val replicator: FleetReplicator,
+        val crashes: CrashTable,
     ) {
         lateinit var job: Job
 
@@ -57,6 +59,7 @@
         val storeReader = StoreReader(link, state, clock) { }
         val controller = RolloutController(state, link, { storeReader.verdictsEndOffset }, { storeReader.readVerdicts() }, clock) { }
         val evidence = VersionEvidence(clock)
+        val crashes = CrashTable(clock)
         val parts =
             ReplicatorParts(
                 state,
@@ -65,10 +68,11 @@
                 { peer, request -> exchange(self.peerAddress, peer, request) },
                 evidence,
                 controller,
+                crashes,
             )
         val seedAddresses = seeds.map { member(it).peerAddress }
         val replicator = FleetReplicator(parts, { seedAddresses }, "${self.name}/$incarnation", clock, isFirstStart) { }
-        val node = Node(state, members, evidence, replicator)
+        val node = Node(state, members, evidence, replicator, crashes)
         nodes[self.peerAddress] = node
         node.job = scope.backgroundScope.launch { replicator.run() }
         return node
--- a/goldcrestquay/src/test/kotlin/dev/goldcrestquay/routing/CrashingRequestTest.kt
+++ b/goldcrestquay/src/test/kotlin/dev/goldcrestquay/routing/CrashingRequestTest.kt
@@ -108,7 +108,7 @@
                     if (targets.getValue(target.id).isRunning) ProbeResult(LoadSample(0, 0, 4, 1.0, true), target.id) else null
                 }) { }
             val budget = FleetRetryBudget({ RetryLimits(0.2, 56.0, 10.seconds) }, clock) { members().size }
-            val tables = ForwarderTables(node.state, table, budget, SplitChooser(random), node.evidence)
+            val tables = ForwarderTables(node.state, table, budget, SplitChooser(random), node.evidence, node.crashes)
             return RequestForwarder(tables, sampler, clock, random) { }
         }
     }
@@ -132,7 +132,9 @@
                         deployment.crashes.size shouldBeAtLeast 3
                         deployment.lateSends() shouldBeLessThanOrEqual 3
                     }
-                    deployment.fleet.running.toList().forEach { deployment.fleet.kill(it) }
+                    deployment.fleet.running
+                        .toList()
+                        .forEach { deployment.fleet.kill(it) }
                 }
             }
         }
@@ -159,7 +161,11 @@
             delay(4.seconds)
             var answered = 0
             repeat(400) { round ->
-                if (round in listOf(100, 150, 200)) deployment.targets.values.take(8).forEach { it.crash() }
+                if (round in listOf(100, 150, 200)) {
+                    deployment.targets.values
+                        .take(8)
+                        .forEach { it.crash() }
+                }
                 launch { if (deployment.call(deployment.entryVm(), "popular") is ForwardOutcome.Answered) answered++ }
                 delay(10.milliseconds)
             }
--- a/goldcrestquay/src/test/kotlin/dev/goldcrestquay/routing/RequestForwarderTest.kt
+++ b/goldcrestquay/src/test/kotlin/dev/goldcrestquay/routing/RequestForwarderTest.kt
@@ -64,7 +64,7 @@
         val probes = ProbeBudget({ probesPerSecond }, clock) { 1 }
         val sampler = TargetSampler(clock, random, backgroundScope, probes, probe) { released += it }
         val budget = FleetRetryBudget({ RetryLimits(0.2, 56.0, 10.seconds) }, clock) { 1 }
-        val tables = ForwarderTables(state, table, budget, SplitChooser(random), VersionEvidence(clock))
+        val tables = ForwarderTables(state, table, budget, SplitChooser(random), VersionEvidence(clock), CrashTable(clock))
         return RequestForwarder(tables, sampler, clock, random) { }
     }
 
@@ -299,7 +299,15 @@
         runTest {
             val forwarder = forwarder(threeTargets)
             val unroutable =
-                ForwardRequest<String, String>("r", "shop.example", "/none/", 0, Duration.ZERO, null, { _, _, _ -> SendResult.Broken() }) { 1 }
+                ForwardRequest<String, String>(
+                    "r",
+                    "shop.example",
+                    "/none/",
+                    0,
+                    Duration.ZERO,
+                    null,
+                    { _, _, _ -> SendResult.Broken() },
+                ) { 1 }
             forwarder.forward(unroutable).shouldBeInstanceOf<ForwardOutcome.NotRun>().code shouldBe ResultCode.NO_ROUTE
         }
 }
