--- a/goldcrestquay-platform-standins/src/main/kotlin/dev/goldcrestquay/standins/platform/TargetStandIn.kt
+++ b/goldcrestquay-platform-standins/src/main/kotlin/dev/goldcrestquay/standins/platform/TargetStandIn.kt
@@ -32,6 +32,9 @@
 
     /** Executes the request and never responds. */
     HANG,
+
+    /** Begins to execute the request and ends, with all its connections. */
+    CRASH,
 }
 
 /**
@@ -170,6 +173,7 @@
                     encodeResponse(received, body).let { it.getBuffer(0, it.length() - TRUNCATED_BYTES) },
                 ).addListener { channel(request).close() }
             ResponseMode.ANSWER_TWICE -> writeRaw(request, encodeResponse(received, body).appendBuffer(encodeResponse(received, body)))
+            ResponseMode.CRASH -> server.close()
             ResponseMode.HANG, ResponseMode.SHED -> Unit
         }
     }
