Compare the store's answers with the latest epoch that is known at all

Found by reading the change again: a leader whose own reads were still of the store's earlier epoch, but that had learned of a later one from a peer, would have marked the later epoch's records as complete through an offset of the earlier one. Answers of an epoch before the latest known are now taken as outdated. Suspicions are dropped once per step of the replication instead of at each request; names and one function of the forwarder are clearer.

--- a/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/DecisionLog.kt
+++ b/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/DecisionLog.kt
@@ -129,7 +129,7 @@
                 put("target", event.target.id)
                 put("result", event.result)
                 put("took_ms", event.took.inWholeMilliseconds)
-                event.suspicion?.let {
+                event.crashCount?.let {
                     put("fingerprint", it.fingerprint.toULong().toString(HEXADECIMAL_RADIX))
                     put("crashes", it.crashes)
                 }
--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/machine/FleetReplicator.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/machine/FleetReplicator.kt
@@ -84,6 +84,7 @@
             launch { announceCrashes() }
             while (true) {
                 members.expire()
+                parts.crashes.expire()
                 state.applyDeferred()
                 runStep { if (isLeader) lead() else follow() }
             }
@@ -114,9 +115,10 @@
         }
     }
 
-    /** Tells the peers without delay what this entry VM learns about requests that end targets: callers repeat them elsewhere at once. */
+    /** Sends the peers without delay what this entry VM learns about requests that end targets, since callers repeat them elsewhere. */
     private suspend fun announceCrashes() {
-        for (change in ownCrashes) {
+        while (true) {
+            ownCrashes.receive()
             runStep {
                 signal()
                 val source = leader?.takeIf { it != selfAddress }?.let { sourceFor(it) }
--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/machine/StoreReader.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/machine/StoreReader.kt
@@ -127,7 +127,7 @@
         if (state.confirmedAt != null && state.age() > OUTAGE_AGE) state.awaitRewrites()
     }
 
-    private fun isOutdated(records: StoreRecords): Boolean = records.epoch < (epoch ?: records.epoch)
+    private fun isOutdated(records: StoreRecords): Boolean = records.epoch < state.epoch
 
     /** Adopts the store's [newEpoch]; returns whether the positions of an earlier one were dropped. */
     private fun enterEpoch(newEpoch: Long): Boolean {
--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/routing/CrashTable.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/routing/CrashTable.kt
@@ -55,11 +55,7 @@
     public var onOwnChange: () -> Unit = { }
 
     /** Whether no request is suspected, so that no fingerprint needs to be computed. */
-    public val isEmpty: Boolean
-        get() {
-            expire()
-            return entries.isEmpty()
-        }
+    public val isEmpty: Boolean get() = entries.isEmpty()
 
     /** How many targets have ended under the request with this [fingerprint]. */
     public fun crashes(fingerprint: Long): Int = entries[fingerprint]?.crashes ?: 0
@@ -137,10 +133,10 @@
         if (entries.size > CAPACITY) entries.remove(entries.keys.first())
     }
 
-    private fun expire() {
-        if (entries.isEmpty()) return
+    /** Drops the suspicions that have not changed for [LIFETIME]. */
+    public fun expire() {
         val oldest = clock() - LIFETIME
-        entries.values.removeIf { it.changedAt < oldest }
+        entries.values.removeIf { it.changedAt <= oldest }
     }
 
     private companion object {
--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/routing/ForwardOutcome.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/routing/ForwardOutcome.kt
@@ -65,8 +65,8 @@
         internal set
 }
 
-/** A request under which a target ended: its [fingerprint], and how many [crashes] in a row are known; see [CrashTable]. */
-public data class Suspicion(
+/** How many [crashes] in a row are known of the request with a [fingerprint]; see [CrashTable]. */
+public data class CrashCount(
     val fingerprint: Long,
     val crashes: Int,
 )
@@ -127,14 +127,14 @@
      * An attempt ended at its target.
      *
      * @property result `replied`, `failed`, or the name of the refusal or result code.
-     * @property suspicion what is known about the request when the connection was lost, otherwise null.
+     * @property crashCount the targets that ended under this request, when the connection was lost; otherwise null.
      */
     public data class AttemptEnded(
         override val request: String,
         val target: RegisteredTarget,
         val result: String,
         val took: Duration,
-        val suspicion: Suspicion? = null,
+        val crashCount: CrashCount? = null,
     ) : ForwardEvent
 
     /**
--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/routing/RequestForwarder.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/routing/RequestForwarder.kt
@@ -170,16 +170,24 @@
                 }
             }
             val took = clock() - started
-            val lost = result is SendResult.Broken && result.code == ResultCode.CONNECTION_LOST
-            if (lost) tables.crashes.recordCrash(request.fingerprint, crashesBefore)
-            if (result is SendResult.Replied && !tables.crashes.isEmpty) tables.crashes.recordAnswer(request.fingerprint)
-            val suspicion = if (lost) Suspicion(request.fingerprint, tables.crashes.crashes(request.fingerprint)) else null
-            report(ForwardEvent.AttemptEnded(request.id, target, resultName(result), took, suspicion))
+            report(ForwardEvent.AttemptEnded(request.id, target, resultName(result), took, recordCrash(result, crashesBefore)))
             recordResult(chosen, tickets, result, took)
             recordRequestLimit(chosen.candidate, result)
             return outcomeOf(target, result)
         }
 
+        /** Records that a lost connection may mean that the target ended, or that it answered; returns the count in the first case. */
+        private fun recordCrash(
+            result: SendResult<Reply>,
+            crashesBefore: Int,
+        ): CrashCount? {
+            val crashes = tables.crashes
+            if (result is SendResult.Replied && !crashes.isEmpty) crashes.recordAnswer(request.fingerprint)
+            if (result !is SendResult.Broken || result.code != ResultCode.CONNECTION_LOST) return null
+            crashes.recordCrash(request.fingerprint, crashesBefore)
+            return CrashCount(request.fingerprint, crashes.crashes(request.fingerprint))
+        }
+
         private fun recordResult(
             chosen: ChosenTarget<Connection>,
             tickets: Tickets,
--- a/goldcrestquay/src/test/kotlin/dev/goldcrestquay/routing/CrashTableTest.kt
+++ b/goldcrestquay/src/test/kotlin/dev/goldcrestquay/routing/CrashTableTest.kt
@@ -22,8 +22,9 @@
         table.blockedFor(REQUEST) shouldBe null
         table.crashInARow(1)
         table.blockedFor(REQUEST) shouldBe 5.minutes
-        now += 6.minutes
+        now += 5.minutes
         table.blockedFor(REQUEST) shouldBe null
+        table.expire()
         table.isEmpty shouldBe true
     }
 
