Let entry VMs agree on records of different epochs of the store

Causes, one class (what one entry VM knows of an earlier epoch does not reach another that knows only the restored copy): - a record that was written again unchanged took its new position without being passed on, so an entry VM that had loaded the copy never got it; - a record of an earlier epoch was refused by its position though it held the later heartbeat or the removal; - a removal did not carry the last heartbeat to entry VMs that start later; - the grace for writing again ended while the store was away once more. Change: a repeat in a later epoch counts as a change for peers; targets of different epochs are compared by start and heartbeat; TargetRecord carries the removed target's last heartbeat; the grace ends with the first read of the store after it.

--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/machine/FleetReplicator.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/machine/FleetReplicator.kt
@@ -85,7 +85,6 @@
             while (true) {
                 members.expire()
                 parts.crashes.expire()
-                state.applyDeferred()
                 runStep { if (isLeader) lead() else follow() }
             }
         }
--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/machine/SharedRecord.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/machine/SharedRecord.kt
@@ -47,7 +47,11 @@
         }
 }
 
-/** The latest heartbeat of a target, or null when the target was removed. */
+/**
+ * The latest heartbeat of a target, or null when the target was removed.
+ *
+ * @property removedTarget the last heartbeat of a target that was removed, if it is known: only a newer one registers it again.
+ */
 @Serializable
 @SerialName("target")
 public data class TargetRecord(
@@ -55,6 +59,7 @@
     override val offset: Long,
     val target: RegisteredTarget?,
     override val epoch: Long = 0,
+    val removedTarget: RegisteredTarget? = null,
 ) : SharedRecord {
     override val feed: Feed get() = Feed.TARGETS
 }
--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/machine/SharedState.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/machine/SharedState.kt
@@ -17,26 +17,28 @@
  * the plan never decreases while the process runs, nor does a final verdict become open again. Confined to the entry VM's event
  * loop. The state of the project's own interface, built from the log, is `EnvironmentState`.
  *
- * A store that was restored from an older copy lacks records until operators and targets have written them again. Within
- * [REWRITE_GRACE] of its return, what is held is therefore not given up for what the copy has, or lacks.
+ * A store that was restored from an older copy lacks records until operators and targets have written them again. For a grace of
+ * [REWRITE_GRACE] after its return, what is held is therefore not given up for what the copy has, or lacks.
  */
 public class SharedState(
     private val clock: Clock,
 ) {
-    /** A record with the [sequence] and time of its last change; [removedTarget] is the last heartbeat of a target that was removed. */
+    /** A record with the [sequence] and time of its last change. */
     private class HeldRecord(
         var record: SharedRecord,
         var sequence: Long,
         var changedAt: Duration,
-        var removedTarget: RegisteredTarget? = null,
     )
 
     private val held = LinkedHashMap<Pair<Feed, String>, HeldRecord>()
     private val completeThrough = HashMap<Feed, Long>()
 
-    /** Records that take effect after [rewriteGraceUntil] unless a later one of the same key arrives first. */
+    /** Records that take effect after the rewrite grace unless a later one of the same key arrives first. */
     private val deferred = LinkedHashMap<Pair<Feed, String>, SharedRecord>()
     private var rewriteGraceUntil = Duration.ZERO
+
+    /** Whether the store has not been read since the rewrite grace; while it is away, nobody can write again. */
+    private val isRewriteGrace: Boolean get() = (confirmedAt ?: Duration.ZERO) < rewriteGraceUntil
     private var acceptsStaleLoad = false
     private val rolledBackVersions = HashSet<Pair<String, String>>()
     private val versionFirstSeen = HashMap<Pair<String, String>, Duration>()
@@ -76,6 +78,7 @@
     /** Notes that the records held matched the store at [time]. */
     public fun confirm(time: Duration) {
         if (time > (confirmedAt ?: -Duration.INFINITE)) confirmedAt = time
+        applyDeferred()
         completeLoad()
     }
 
@@ -120,13 +123,12 @@
         rewriteGraceUntil = clock() + REWRITE_GRACE
     }
 
-    /** How long until [record] takes effect if it was deferred, or null. */
+    /** The shortest time until [record] takes effect if it was deferred, or null. */
     public fun deferralOf(record: SharedRecord): Duration? =
-        (rewriteGraceUntil - clock()).takeIf { deferred[record.feed to record.key] === record }
+        (rewriteGraceUntil - clock()).takeIf { deferred[record.feed to record.key] === record }?.coerceAtLeast(Duration.ZERO)
 
-    /** Applies the records that were deferred once their time has come. */
-    public fun applyDeferred() {
-        if (deferred.isEmpty() || clock() < rewriteGraceUntil) return
+    private fun applyDeferred() {
+        if (deferred.isEmpty() || isRewriteGrace) return
         val records = deferred.values.toList()
         deferred.clear()
         records.forEach { apply(it) }
@@ -143,30 +145,32 @@
             return false
         }
         deferred.remove(id)
+        return replace(id, known, if (record is TargetRecord) withRemovedTarget(record, known?.record as? TargetRecord) else record)
+    }
+
+    /** Holds [record] instead of [known]; returns false if it only repeats it. */
+    private fun replace(
+        id: Pair<Feed, String>,
+        known: HeldRecord?,
+        record: SharedRecord,
+    ): Boolean {
         // An order that is written again is the same order, and goes on.
-        if (known != null && known.record.at(record.position) == record) {
-            known.record = record
-            return false
-        }
+        if (known != null && known.record.at(record.position) == record) return repeat(known, record)
         val knownTarget = (known?.record as? TargetRecord)?.target
         val target = (record as? TargetRecord)?.target
         if (knownTarget != null && target != null) {
             if (target.isOlderThan(knownTarget)) return false
-            if (target.equalsExceptHeartbeat(knownTarget)) {
-                known.record = record
-                return false
-            }
+            if (target.equalsExceptHeartbeat(knownTarget)) return repeat(known, record)
         }
         // A heartbeat that was delayed until after the removal is no new registration.
-        val removedTarget = known?.removedTarget
+        val removedTarget = (known?.record as? TargetRecord)?.removedTarget
         if (removedTarget != null && target != null && !removedTarget.isOlderThan(target)) return false
         sequence++
         if (record !is TargetRecord) invalidateCaches()
         if (known == null) {
             held[id] = HeldRecord(record, sequence, clock())
         } else {
-            known.removedTarget = if (target == null) knownTarget ?: known.removedTarget else null
-            known.record = record
+            known.record = record.at(maxOf(record.position, known.record.position))
             known.sequence = sequence
             known.changedAt = clock()
         }
@@ -178,6 +182,30 @@
         return true
     }
 
+    /**
+     * Holds [record] instead of [known], which says the same; returns false.
+     *
+     * Peers need it only if its epoch is later: they may hold what the restored copy has.
+     */
+    private fun repeat(
+        known: HeldRecord,
+        record: SharedRecord,
+    ): Boolean {
+        if (record.epoch > known.record.epoch) known.sequence = ++sequence
+        known.record = record.at(maxOf(record.position, known.record.position))
+        return false
+    }
+
+    /** Adds the last heartbeat that is [known] to the removal of a target. */
+    private fun withRemovedTarget(
+        record: TargetRecord,
+        known: TargetRecord?,
+    ): TargetRecord {
+        if (record.target != null) return record
+        val lastHeartbeats = listOfNotNull(record.removedTarget, known?.target, known?.removedTarget)
+        return record.copy(removedTarget = lastHeartbeats.reduceOrNull { last, other -> if (last.isOlderThan(other)) other else last })
+    }
+
     /** Whether [record] is to replace the one held of its key. */
     private fun supersedes(
         record: SharedRecord,
@@ -186,10 +214,21 @@
         if (record is PlanRecord) return record.plan.version > (routes?.plan?.version ?: -1)
         // Unknown here although all records up to a later position are known: a peer with an outdated copy still holds what was removed.
         if (known == null) return completeThrough[record.feed]?.let { record.position >= LogPosition(epoch, it) } ?: true
+        if (record is TargetRecord && known is TargetRecord && record.epoch < known.epoch) return isLaterHeartbeat(record, known)
         if (record.position <= known.position) return false
         return known !is VerdictRecord || record !is VerdictRecord || !isReversal(record, known)
     }
 
+    /** Whether [record], of an earlier epoch than [known], is of a later heartbeat, or of the removal after the last one. */
+    private fun isLaterHeartbeat(
+        record: TargetRecord,
+        known: TargetRecord,
+    ): Boolean {
+        val last = record.target ?: record.removedTarget ?: return false
+        val knownLast = known.target ?: known.removedTarget ?: return false
+        return if (record.target == null) known.target != null && !last.isOlderThan(knownLast) else knownLast.isOlderThan(last)
+    }
+
     /** Whether [record] would take back the verdict of [known]: opens it again, or is what an older copy of the store has. */
     private fun isReversal(
         record: VerdictRecord,
@@ -204,7 +243,7 @@
         record: SharedRecord,
         known: SharedRecord,
     ): Boolean {
-        if (clock() >= rewriteGraceUntil) return false
+        if (!isRewriteGrace) return false
         return when (record) {
             is TargetRecord -> record.target == null && isReady(record.key)
             is RolloutRecord, is EvacuationRecord -> isUncertain(record, known) && known.at(record.position) != record
