--- a/goldcrestquay/src/test/kotlin/dev/goldcrestquay/routing/CrashingRequestTest.kt
+++ b/goldcrestquay/src/test/kotlin/dev/goldcrestquay/routing/CrashingRequestTest.kt
@@ -63,10 +63,11 @@
         private val scope: TestScope,
         targetCount: Int = 24,
         entryVmCount: Int = 13,
+        dataCentres: Int = 1,
     ) {
         private val store = FakeStore().apply { write(Feed.OPERATOR) { planRecord(1, it) } }
         val targets = (1..targetCount).map { CrashingTarget(registeredTarget("t$it"), scope) }.associateBy { it.registered.id }
-        val fleet = FakeFleet(scope, store)
+        val fleet = FakeFleet(scope, store, dataCentres = dataCentres)
         private val forwarders = HashMap<FakeFleet.Node, RequestForwarder<String, String>>()
 
         /** The times at which the crashing request ended targets, and at which it was sent. */
@@ -153,6 +154,20 @@
             deployment.lateSends() shouldBeLessThanOrEqual 3
         }
 
+    /** The records reach most entry VMs over a tree of peers in their data centre. */
+    @Test
+    fun `a request that ended three targets is sent no more by any of a hundred entry VMs`() =
+        runTest {
+            val deployment = Deployment(this, targetCount = 60, entryVmCount = 100, dataCentres = 3)
+            delay(6.seconds)
+            repeat(150) {
+                launch { deployment.call(deployment.entryVm(), "crash", isCrashing = true) }
+                delay(50.milliseconds)
+            }
+            delay(2.seconds)
+            deployment.lateSends() shouldBeLessThanOrEqual 3
+        }
+
     /** Many callers ask for the same; several targets that run it at the time end for a reason of their own. */
     @Test
     fun `a request is not blocked because targets that ran it ended together`() =
