Show that a cut-off entry VM learns of a blocked request after the cut

Entry VMs that do not hear of each other's losses at once were tested only by the delay of their exchange. Two of 13 are now cut off from their peers while the request goes on ending targets; 3 s after the cut has healed, when they count as in touch again, both refuse it without sending it.

Measured: passes on the code as it is; no change of the program.

--- a/goldcrestquay/src/test/kotlin/dev/goldcrestquay/routing/CrashingRequestTest.kt
+++ b/goldcrestquay/src/test/kotlin/dev/goldcrestquay/routing/CrashingRequestTest.kt
@@ -1,6 +1,7 @@
 package dev.goldcrestquay.routing
 
 import dev.goldcrestquay.contract.RequestKind
+import dev.goldcrestquay.contract.ResultCode
 import dev.goldcrestquay.link.Refusal
 import dev.goldcrestquay.link.SendResult
 import dev.goldcrestquay.machine.FakeFleet
@@ -13,6 +14,7 @@
 import io.kotest.assertions.withClue
 import io.kotest.matchers.ints.shouldBeAtLeast
 import io.kotest.matchers.ints.shouldBeLessThanOrEqual
+import io.kotest.matchers.shouldBe
 import io.kotest.matchers.types.shouldBeInstanceOf
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.ExperimentalCoroutinesApi
@@ -154,6 +156,32 @@
             deployment.lateSends() shouldBeLessThanOrEqual 3
         }
 
+    /** Entry VMs count as in touch again three seconds after a cut has healed. */
+    @Test
+    fun `an entry VM that was cut off from its peers knows of a blocked request once the cut has healed`() =
+        runTest {
+            val deployment = Deployment(this)
+            delay(4.seconds)
+            val cutOff =
+                deployment.fleet.running
+                    .filterNot { it.replicator.isLeader }
+                    .take(2)
+            val addresses = cutOff.map { it.members.self.peerAddress }
+            deployment.fleet.connected = { from, to -> from !in addresses && to !in addresses }
+            repeat(20) {
+                launch { deployment.call(deployment.entryVm(), "crash", isCrashing = true) }
+                delay(100.milliseconds)
+            }
+            deployment.fleet.connected = { _, _ -> true }
+            delay(CONTACT)
+            val sendsBefore = deployment.sends.size
+            cutOff.forEach { node ->
+                val outcome = deployment.call(node, "crash", isCrashing = true)
+                outcome.shouldBeInstanceOf<ForwardOutcome.NotRun>().code shouldBe ResultCode.BLOCKED
+            }
+            deployment.sends.size shouldBe sendsBefore
+        }
+
     /** The records reach most entry VMs over a tree of peers in their data centre. */
     @Test
     fun `a request that ended three targets is sent no more by any of a hundred entry VMs`() =
