--- a/goldcrestquay/src/test/kotlin/dev/goldcrestquay/machine/FakeFleet.kt
+++ b/goldcrestquay/src/test/kotlin/dev/goldcrestquay/machine/FakeFleet.kt
@@ -1,6 +1,7 @@
 package dev.goldcrestquay.machine
 
 import dev.goldcrestquay.fleetMember
+import dev.goldcrestquay.link.StoreLink
 import dev.goldcrestquay.move.RolloutController
 import dev.goldcrestquay.move.VersionEvidence
 import dev.goldcrestquay.routing.CrashTable
@@ -9,8 +10,10 @@
 import kotlinx.coroutines.awaitCancellation
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
+import kotlinx.coroutines.test.StandardTestDispatcher
 import kotlinx.coroutines.test.TestScope
 import kotlinx.coroutines.test.currentTime
+import kotlinx.coroutines.withContext
 import kotlin.time.Duration.Companion.milliseconds
 
 /** Several entry VMs that replicate records in memory, under virtual time. */
@@ -27,6 +30,7 @@
         val evidence: VersionEvidence,
         val replicator: FleetReplicator,
         val crashes: CrashTable,
+        val eventLoop: PausableDispatcher,
     ) {
         lateinit var job: Job
 
@@ -35,6 +39,7 @@
     }
 
     private val nodes = HashMap<SocketAddress, Node>()
+    private val network = StandardTestDispatcher(scope.testScheduler)
 
     /** Whether two entry VMs can reach each other. */
     var connected: (SocketAddress, SocketAddress) -> Boolean = { _, _ -> true }
@@ -55,7 +60,7 @@
         val self = member(number, incarnation)
         val state = SharedState(clock)
         val members = FleetMembers(self, clock)
-        val link = store.link(self.name)
+        val link = remote(store.link(self.name))
         val storeReader = StoreReader(link, state, clock) { }
         val controller = RolloutController(state, link, { storeReader.verdictsEndOffset }, { storeReader.readVerdicts() }, clock) { }
         val evidence = VersionEvidence(clock)
@@ -72,12 +77,20 @@
             )
         val seedAddresses = seeds.map { member(it).peerAddress }
         val replicator = FleetReplicator(parts, { seedAddresses }, "${self.name}/$incarnation", clock, isFirstStart) { }
-        val node = Node(state, members, evidence, replicator, crashes)
+        val node = Node(state, members, evidence, replicator, crashes, PausableDispatcher(scope.testScheduler))
         nodes[self.peerAddress] = node
-        node.job = scope.backgroundScope.launch { replicator.run() }
+        node.job = scope.backgroundScope.launch(node.eventLoop) { replicator.run() }
         return node
     }
 
+    /** The [link] to a store that works on while the event loop of the entry VM that calls it is paused. */
+    private fun remote(link: StoreLink): StoreLink =
+        StoreLink(
+            newest = { feed -> withContext(network) { link.newest(feed) } },
+            read = { feed, from, wait -> withContext(network) { link.read(feed, from, wait) } },
+            writeVerdict = { service, verdict, end -> withContext(network) { link.writeVerdict(service, verdict, end) } },
+        )
+
     private fun member(
         number: Int,
         incarnation: Long = 1,
@@ -93,16 +106,17 @@
         from: SocketAddress,
         to: SocketAddress,
         request: ExchangeRequest,
-    ): ExchangeReply? {
-        delay(ONE_WAY_MILLISECONDS)
-        if (!connected(from, to)) awaitCancellation()
-        val node = nodes[to] ?: return null
-        node.requests++
-        val reply = node.replicator.answer(request)
-        delay(ONE_WAY_MILLISECONDS)
-        if (!connected(from, to)) awaitCancellation()
-        return reply
-    }
+    ): ExchangeReply? =
+        withContext(network) {
+            delay(ONE_WAY_MILLISECONDS)
+            if (!connected(from, to)) awaitCancellation()
+            val node = nodes[to] ?: return@withContext null
+            node.requests++
+            val reply = withContext(node.eventLoop) { node.replicator.answer(request) }
+            delay(ONE_WAY_MILLISECONDS)
+            if (!connected(from, to)) awaitCancellation()
+            reply
+        }
 
     private companion object {
         const val ONE_WAY_MILLISECONDS = 2L
