Log when an entry VM's event loop stalls

Cause: nothing told an entry VM without processor time from one whose peers are late. A timer that runs over 100 ms late is logged as EventLoopStalled, and counted with the other changes of belief; a stall shorter than the timer's interval of 0.5 s can pass unseen.

--- a/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/DecisionLog.kt
+++ b/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/DecisionLog.kt
@@ -178,6 +178,7 @@
                 put("plan", event.planVersion)
                 put("targets", event.targets)
             }
+            is FleetEvent.EventLoopStalled -> put("late_ms", event.late.inWholeMilliseconds)
             is FleetEvent.RolloutStep -> {
                 put("service", event.service)
                 put("version", event.version)
--- a/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/GatewayNode.kt
+++ b/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/GatewayNode.kt
@@ -225,6 +225,8 @@
     }
 
     private suspend fun listen(
+            val late = clock() - dueAt
+            if (late > REPORTED_STALL) reports.fleet(FleetEvent.EventLoopStalled(late))
         address: SocketAddress,
         handler: RequestHandler,
     ) {
@@ -259,3 +261,6 @@
         private val SWEEP_INTERVAL = 500.milliseconds
     }
 }
+
+        /** A timer that is late by more than this is logged; small machines are late by some milliseconds all the time. */
+        private val REPORTED_STALL = 100.milliseconds
--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/machine/StoreReader.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/machine/StoreReader.kt
@@ -267,3 +267,8 @@
         val reason: String,
     ) : FleetEvent
 }
+    /** The event loop ran a timer [late]: this entry VM had no processor time, or one task took long. */
+    public data class EventLoopStalled(
+        val late: Duration,
+    ) : FleetEvent
+
