Send an entry VM that changes its source only what it lacks

An entry VM counts its progress with each peer by that peer's own sequence. It forgot it when the peer was late, and has none with the next source, so each change of source sent all records once more, which made the peers later still. Class: retries that cost more than the first try.

A request to a peer without common progress now says up to which offsets the sender knows all records; the peer sends what lies beyond, and what changed in the last 4.4 s, since a deferred removal takes effect late. It sends all, as before, when its own history of removals begins later. A late reply no longer ends the progress: what was applied stays applied.

Test: 40 entry VMs, an eighth of which stalls for a second in turn.

--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/machine/FleetExchange.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/machine/FleetExchange.kt
@@ -51,6 +51,8 @@
  * @property evidence the answers counted by version during rollouts, by process: the sender's own and those reported to it.
  * @property isLeader whether the sender reads the store.
  * @property crashes what the sender has learned since its last request about requests that end targets.
+ * @property completeThrough by feed, the offset up to which the sender knows all records of the [epoch].
+ * @property epoch the latest epoch of the store that the sender knows; see [LogPosition].
  */
 @Serializable
 public data class ExchangeRequest(
@@ -63,6 +65,8 @@
     @SerialName("isReader")
     val isLeader: Boolean = false,
     val crashes: List<CrashSuspicion> = emptyList(),
+    val completeThrough: Map<Feed, Long> = emptyMap(),
+    val epoch: Long = 0,
 )
 
 /**
@@ -77,6 +81,7 @@
  * @property knowsObserved whether the peer still knows which members the sender observes.
  * @property epoch the latest epoch of the store that the peer knows; see [LogPosition].
  * @property crashes what the peer has learned about requests that end targets.
+ * @property isWhole whether [records] are all records of the peer if the sender had replicated none; otherwise only later ones.
  */
 @Serializable
 public data class ExchangeReply(
@@ -95,6 +100,7 @@
     val completeThrough: Map<Feed, Long> = emptyMap(),
     val epoch: Long = 0,
     val crashes: List<CrashSuspicion> = emptyList(),
+    val isWhole: Boolean = true,
 )
 
 /**
--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/machine/FleetReplicator.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/machine/FleetReplicator.kt
@@ -148,12 +148,13 @@
             withTimeoutOrNull(hold) { changeSignal.await() }
         }
         return ExchangeReply(
+        val beyond = if (known == null) state.changesBeyond(request.epoch, request.completeThrough) else null
             position = position(),
             heldMilliseconds = (clock() - receivedAt).inWholeMilliseconds,
             ageMilliseconds = state.age().takeIf { it.isFinite() }?.inWholeMilliseconds,
             leader = leader,
             storeUnavailable = peers.isStoreUnavailable(selfAddress),
-            records = state.changesAfter(known?.sequence ?: 0),
+            records = beyond ?: state.changesAfter(known?.sequence ?: 0),
             members = if (known?.membersVersion == members.version) null else members.changesAfter(known?.membersVersion),
             knowsObserved = members.hasReportFrom(request.sender.peerAddress),
             rollouts = state.rollouts().values.toList(),
@@ -161,6 +162,7 @@
             epoch = state.epoch,
             crashes = parts.crashes.changesAfter(known?.crashesVersion ?: 0, request.sender.peerAddress),
         )
+            isWhole = beyond == null,
     }
 
     /**
@@ -382,10 +384,20 @@
         val known = progress?.position?.let { if (members.listSource == peer) it else it.copy(membersVersion = null) }
         val crashesVersion = parts.crashes.version
         val crashes = parts.crashes.changesAfter(progress?.crashesVersion ?: 0, peer)
-        val request = ExchangeRequest(members.self, known, hold.inWholeMilliseconds, observed, reportedCounts, isLeader, crashes)
+        val request =
+            ExchangeRequest(
+                sender = members.self,
+                known = known,
+                holdMilliseconds = hold.inWholeMilliseconds,
+                observed = observed,
+                evidence = reportedCounts,
+                isLeader = isLeader,
+                crashes = crashes,
+                completeThrough = if (known == null) state.completeThrough() else emptyMap(),
+                epoch = state.epoch,
+            )
         val reply = withTimeoutOrNull(hold + REPLY_MARGIN) { parts.exchange(peer, request) }
         if (reply == null) {
-            peers.clearProgress(peer)
             report(FleetEvent.PeerSilent(peer.toString()))
             return null
         }
@@ -412,7 +424,7 @@
 
     /** Removes what the peer would hold if it had not been removed; [reply] has all records of the peer. */
     private fun removeMissing(reply: ExchangeReply) {
-        if (reply.epoch < state.epoch) return
+        if (!reply.isWhole || reply.epoch < state.epoch) return
         reply.completeThrough.forEach { (feed, end) ->
             val present = reply.records.filter { it.feed == feed }.mapTo(HashSet()) { it.key }
             state.removals(feed, present, end).forEach { state.apply(it) }
--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/machine/PeerTable.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/machine/PeerTable.kt
@@ -33,10 +33,6 @@
         progress[peer] = newProgress
     }
 
-    fun clearProgress(peer: SocketAddress) {
-        progress.remove(peer)
-    }
-
     /** Whether [peer] is not to be asked for now, since it did not answer or had outdated records. */
     fun isExcluded(peer: SocketAddress): Boolean = clock() < (excludedUntil[peer] ?: Duration.ZERO)
 
--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/machine/SharedState.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/machine/SharedState.kt
@@ -33,6 +33,9 @@
     private val held = LinkedHashMap<Pair<Feed, String>, HeldRecord>()
     private val completeThrough = HashMap<Feed, Long>()
 
+    /** By feed, the offset from which on no change, and no removal, of the present epoch has been missed. */
+    private val completeFrom = HashMap<Feed, Long>()
+
     /** Records that take effect after the rewrite grace unless a later one of the same key arrives first. */
     private val deferred = LinkedHashMap<Pair<Feed, String>, SharedRecord>()
     private var rewriteGraceUntil = Duration.ZERO
@@ -108,6 +111,7 @@
         end: Long,
     ) {
         completeThrough.merge(feed, end, ::maxOf)
+        completeFrom.putIfAbsent(feed, end)
     }
 
     /** Notes that the store has been seen in [newEpoch]; what is held of an earlier epoch may have to be written again. */
@@ -115,6 +119,7 @@
         if (newEpoch <= epoch) return
         epoch = newEpoch
         completeThrough.clear()
+        completeFrom.clear()
         if (held.isNotEmpty()) awaitRewrites()
     }
 
@@ -283,6 +288,24 @@
             is PlanRecord, is VerdictRecord -> null
         }
 
+    /**
+     * The records that someone lacks who knows all records of [knownEpoch] up to the offsets [known], oldest change first; null when a
+     * removal may be among them that is not known here.
+     *
+     * Records that changed here lately are among them too, since a deferred one takes effect after later ones.
+     */
+    public fun changesBeyond(
+        knownEpoch: Long,
+        known: Map<Feed, Long>,
+    ): List<SharedRecord>? {
+        if (knownEpoch != epoch || Feed.entries.any { feed -> (known[feed] ?: -1) < (completeFrom[feed] ?: Long.MAX_VALUE) }) return null
+        val now = clock()
+        return held.values
+            .filter { it.record.position >= LogPosition(epoch, known.getValue(it.record.feed)) || now - it.changedAt < LATELY }
+            .sortedBy { it.sequence }
+            .map { it.recordAt(now) }
+    }
+
     /** The records that changed after [sequence], oldest change first; the rest of a warm-up is reduced by the time since the change. */
     public fun changesAfter(sequence: Long): List<SharedRecord> =
         held.values
@@ -386,6 +409,9 @@
 
         /** Running targets register again within two seconds after an outage of the store; the rest is the time to read their records. */
         val REWRITE_GRACE = 2200.milliseconds
+
+        /** A deferred record has taken effect, and was passed on over peers, within this time. */
+        val LATELY = REWRITE_GRACE * 2
     }
 }
 
--- a/goldcrestquay/src/test/kotlin/dev/goldcrestquay/machine/FakeFleet.kt
+++ b/goldcrestquay/src/test/kotlin/dev/goldcrestquay/machine/FakeFleet.kt
@@ -38,6 +38,9 @@
         var requests = 0
     }
 
+
+        /** The records sent to peers so far. */
+        var sentRecords = 0
     private val nodes = HashMap<SocketAddress, Node>()
     private val network = StandardTestDispatcher(scope.testScheduler)
 
@@ -117,6 +120,7 @@
             if (!connected(from, to)) awaitCancellation()
             reply
         }
+            node.sentRecords += reply.records.size
 
     private companion object {
         const val ONE_WAY_MILLISECONDS = 2L
--- a/goldcrestquay/src/test/kotlin/dev/goldcrestquay/machine/FleetReplicatorTest.kt
+++ b/goldcrestquay/src/test/kotlin/dev/goldcrestquay/machine/FleetReplicatorTest.kt
@@ -280,6 +280,40 @@
             }
         }
 
+    @Test
+    fun `entry VMs that change their source because it stalls do not get all records again`() =
+        runTest {
+            repeat(200) { number -> store.write(Feed.TARGETS) { targetRecord(registeredTarget("target-$number"), it) } }
+            val fleet = FakeFleet(this, store, dataCentres = 3)
+            (1..40).forEach { fleet.start(it) }
+            delay(10.seconds)
+            val before = fleet.running.sumOf { it.sentRecords }
+            repeat(8) { round ->
+                val stalled = fleet.running.filterIndexed { index, _ -> index % 8 == round }
+                stalled.forEach { it.eventLoop.isPaused = true }
+                delay(1.seconds)
+                store.write(Feed.TARGETS) { targetRecord(registeredTarget("new-$round"), it) }
+                stalled.forEach { it.eventLoop.isPaused = false }
+                delay(1.seconds)
+            }
+            delay(2.seconds)
+            fleet.running.map { it.state.targets().size }.toSet() shouldBe setOf(208)
+            (fleet.running.sumOf { it.sentRecords } - before) shouldBeLessThan 8 * 40 * 10
+        }
+
+    /** Half of the two seconds within which changes must be in force is left for a change of leader. */
+    @Test
+    fun `while nothing happens the records of all are younger than a second`() =
+        runTest {
+            val fleet = FakeFleet(this, store, dataCentres = 3)
+            (1..40).forEach { fleet.start(it) }
+            delay(5.seconds)
+            repeat(500) {
+                delay(10.milliseconds)
+                fleet.running.maxOf { it.state.age() } shouldBeLessThan 1.seconds
+            }
+        }
+
     @Test
     fun `in a large fleet the requests that any member receives are bounded`() =
         runTest {
