Pass on the targets' records as soon as they are read

A change of a target took up to 1.4 s to all entry VMs with nothing in its way, of the 2 s that it has: the leader read the targets' records, waited 0.9 s for operators' records, and only then released what its peers were waiting for; a peer's own hold of 0.5 s ended before that.

The leader releases the replies once the targets are read, and once more only if the records have become younger or changed since, so that peers get no more replies than before. From a store whose reads take over 0.1 s both feeds are read at once, since the reads would add up. While nothing happens the records of 40 entry VMs are younger than 1 s in virtual time, tested; before, the test fails.

--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/machine/FleetReplicator.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/machine/FleetReplicator.kt
@@ -64,6 +64,7 @@
     private val rolloutDecisions = Mutex()
     private val ownCrashes = Channel<Unit>(Channel.CONFLATED)
     private var confirmations = 0L
+    private var signalledConfirmation = -Duration.INFINITE
     private var leaderCheckedAt = Duration.ZERO
     private var failedPolls = 0
     private val seedTimeout = if (isFirstStart) FIRST_START_SEED_TIMEOUT else SEED_TIMEOUT
@@ -147,8 +148,8 @@
             val hold = request.holdMilliseconds.milliseconds.coerceAtMost(HOLD)
             withTimeoutOrNull(hold) { changeSignal.await() }
         }
-        return ExchangeReply(
         val beyond = if (known == null) state.changesBeyond(request.epoch, request.completeThrough) else null
+        return ExchangeReply(
             position = position(),
             heldMilliseconds = (clock() - receivedAt).inWholeMilliseconds,
             ageMilliseconds = state.age().takeIf { it.isFinite() }?.inWholeMilliseconds,
@@ -161,8 +162,8 @@
             completeThrough = state.completeThrough(),
             epoch = state.epoch,
             crashes = parts.crashes.changesAfter(known?.crashesVersion ?: 0, request.sender.peerAddress),
-        )
             isWhole = beyond == null,
+        )
     }
 
     /**
@@ -215,9 +216,9 @@
 
     /** One step as the leader: reads the store, decides rollouts and releases held replies. */
     private suspend fun lead() {
-        val polled = parts.storeReader.poll(POLL_WAIT)
+        val polled = parts.storeReader.poll(POLL_WAIT, ::signalConfirmation)
         decideRollouts()
-        signal(confirmed = polled)
+        signalConfirmation()
         if (polled) {
             failedPolls = 0
         } else {
@@ -228,6 +229,14 @@
         checkForOtherLeader()
     }
 
+    /** Releases held replies when the leader's records have become younger, or have changed. */
+    private fun signalConfirmation() {
+        val confirmedAt = state.confirmedAt ?: return signal()
+        val isYounger = confirmedAt - signalledConfirmation > CONFIRMATION_STEP
+        if (isYounger) signalledConfirmation = confirmedAt
+        signal(confirmed = isYounger)
+    }
+
     private suspend fun stepDown() {
         failedPolls = 0
         peers.markStoreUnavailable(selfAddress, storeRetryPause())
@@ -539,6 +548,9 @@
         /** The longest pause between a starting entry VM's attempts to load while the store is unavailable. */
         val MAXIMUM_START_PAUSE = 400.milliseconds
 
+        /** Records that have become younger by less than this are not worth a reply to each peer. */
+        val CONFIRMATION_STEP = 100.milliseconds
+
         /** How often a leader looks for another leader. */
         val LEADER_CHECK_INTERVAL = 1.seconds
 
--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/machine/StoreReader.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/machine/StoreReader.kt
@@ -32,16 +32,46 @@
     /**
      * Reads the targets' new records, then the operators', for which the store is to wait up to [wait]; returns whether both were read.
      *
-     * The first read shows how slow the store is. The wait is shortened by twice the time it took, so that records do not get older
-     * when the store is slow.
+     * Calls [onTargetsRead] in between, since the second read may take the whole wait. The first read shows how slow the store is. The
+     * wait is shortened by twice the time it took, so that records do not get older when the store is slow.
      */
-    public suspend fun poll(wait: Duration): Boolean {
+    public suspend fun poll(
+        wait: Duration,
+        onTargetsRead: () -> Unit,
+    ): Boolean {
+        if (lastReadTook > SLOW_READ) return pollBoth(wait, onTargetsRead)
         val startedAt = clock()
         if (!readNew(Feed.TARGETS, Duration.ZERO, readTimeout())) return false
         val took = clock() - startedAt
         lastReadTook = took
-        val operatorWait = (wait - took * 2).coerceAtLeast(Duration.ZERO)
-        return readNew(Feed.OPERATOR, operatorWait, operatorWait + LONG_POLL_MARGIN + took * 2)
+        onTargetsRead()
+        return readOperators(wait - took * 2, took)
+    }
+
+    /** Reads both feeds of a slow store at once, since two reads one after the other would let the records get too old. */
+    private suspend fun pollBoth(
+        wait: Duration,
+        onTargetsRead: () -> Unit,
+    ): Boolean =
+        coroutineScope {
+            val startedAt = clock()
+            val operators = async { readOperators(wait - lastReadTook, lastReadTook) }
+            val areTargetsRead = readNew(Feed.TARGETS, Duration.ZERO, readTimeout())
+            if (!areTargetsRead) {
+                operators.cancel()
+                return@coroutineScope false
+            }
+            lastReadTook = clock() - startedAt
+            onTargetsRead()
+            operators.await()
+        }
+
+    private suspend fun readOperators(
+        wait: Duration,
+        usualTime: Duration,
+    ): Boolean {
+        val operatorWait = wait.coerceAtLeast(Duration.ZERO)
+        return readNew(Feed.OPERATOR, operatorWait, operatorWait + LONG_POLL_MARGIN + usualTime * 2)
     }
 
     /**
@@ -180,6 +210,9 @@
 
         /** Loading takes several calls, since the records of a large fleet come in pages. */
         val LOAD_TIMEOUT = 1500.milliseconds
+        /** A store whose reads take longer is slow: many times the usual few milliseconds. */
+        val SLOW_READ = 100.milliseconds
+
 
         /**
          * Records older than this mean that the store served no entry VM, since another one leads within two seconds otherwise.
