Don't take an answer of the store for younger than it is

The leader counted an answer without records as fresh when it handled it, less 20 ms. If its event loop stalled meanwhile, the answer is as old as the stall, and the leader's followers take the age over. The store answers without records only after the wait it was asked for, so the records are known to match it at that time, and no later.

--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/machine/StoreReader.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/machine/StoreReader.kt
@@ -108,8 +108,9 @@
                 if (enterEpoch(result.value.epoch)) return load()
                 apply(result.value)
                 state.markComplete(feed, result.value.end)
-                positions[feed] = result.value.end
-                confirmFeed(feed, if (result.value.records.isEmpty()) clock() - REPLY_LATENCY else askedAt)
+                positions.merge(feed, result.value.end, ::maxOf)
+                // The store answers without records only after the wait; when that answer is handled says nothing about its age.
+                confirmFeed(feed, if (result.value.end == position) minOf(askedAt + wait, clock()) else askedAt)
                 true
             }
             is StoreResult.Forgotten -> load(feed)
@@ -221,8 +222,8 @@
          */
         val OUTAGE_AGE = 3000.milliseconds
 
-        /** An empty reply was correct when the store sent it: at most this long ago, unless the store is slow. */
-        val REPLY_LATENCY = 20.milliseconds
+        /** Many times a usual answer, and a small part of the time that a request has. */
+        val CATCH_UP_TIMEOUT = 150.milliseconds
     }
 }
 
