Bring old records up to date before a request is placed by them

Callers' requests reached targets up to 2.08 s after they had said that they leave (bound 2 s), and were handled by a plan that had been replaced over 2.5 s before.

Cause: records come from the store over the leader and up to two peers. Each step has a timeout of its own, nothing bounds their sum, and a request was placed by the records however old they were, though an entry VM knows their age. Class: an age that is known, and logged, but decides nothing.

When its records are older than 1.3 s, an entry VM reads what the store has beyond them, once for all requests that wait, for 0.3 s at most. If the store does not answer it, requests go on by the last records, and it is tried again after 2 to 8 s, since an outage must not stop service.

OldRecordsTest passes; without the refresh 34 of its 153 cases failed (stalls of followers, leaders and sources, no way to any peer).

--- a/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/DecisionLog.kt
+++ b/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/DecisionLog.kt
@@ -171,14 +171,19 @@
                 put("reader", event.reader)
                 put("facts_age_ms", event.factsAge.inWholeMilliseconds)
             }
+            is FleetEvent.OldRecordsRefreshed -> {
+                put("facts_age_ms", event.factsAge.inWholeMilliseconds)
+                put("succeeded", event.succeeded)
+                put("took_ms", event.took.inWholeMilliseconds)
+            }
             is FleetEvent.PeerSilent -> put("peer", event.peer)
             is FleetEvent.StepFailed -> put("reason", event.reason)
+            is FleetEvent.EventLoopStalled -> put("late_ms", event.late.inWholeMilliseconds)
             is FleetEvent.FactsChanged -> {
                 put("sequence", event.sequence)
                 put("plan", event.planVersion)
                 put("targets", event.targets)
             }
-            is FleetEvent.EventLoopStalled -> put("late_ms", event.late.inWholeMilliseconds)
             is FleetEvent.RolloutStep -> {
                 put("service", event.service)
                 put("version", event.version)
--- a/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/GatewayNode.kt
+++ b/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/GatewayNode.kt
@@ -6,6 +6,7 @@
 import dev.goldcrestquay.machine.FleetMember
 import dev.goldcrestquay.machine.FleetMembers
 import dev.goldcrestquay.machine.FleetReplicator
+import dev.goldcrestquay.machine.RecordRefresher
 import dev.goldcrestquay.machine.ReplicatorParts
 import dev.goldcrestquay.machine.SharedState
 import dev.goldcrestquay.machine.SocketAddress
@@ -135,7 +136,9 @@
     private val targetExchange = TargetExchange(pool, protocol)
     private val probeBudget = ProbeBudget({ settings.probesPerSecond }, clock) { members.largestCount.takeIf { isSettled } }
     private val sampler = TargetSampler(clock, random, scope, probeBudget, targetExchange::probe, pool::release)
-    private val forwarderTables = ForwarderTables(state, targetTable, retryBudget, SplitChooser(random), evidence, crashes)
+    private val refresher = RecordRefresher(state, storeReader, clock, scope, reports.fleet)
+    private val forwarderTables =
+        ForwarderTables(state, targetTable, retryBudget, SplitChooser(random), evidence, crashes, refresher::refreshIfOld)
     private val forwarder = RequestForwarder<OriginConnection, EdgeReply>(forwarderTables, sampler, clock, random, reports.request)
     private val edgeServer = EdgeServer(vertx, state, protocol, targetExchange, forwarder, clock, scope)
 
@@ -220,13 +223,14 @@
     private suspend fun sweepPool() {
         while (true) {
             pool.sweep()
+            val dueAt = clock() + SWEEP_INTERVAL
             delay(SWEEP_INTERVAL)
+            val late = clock() - dueAt
+            if (late > REPORTED_STALL) reports.fleet(FleetEvent.EventLoopStalled(late))
         }
     }
 
     private suspend fun listen(
-            val late = clock() - dueAt
-            if (late > REPORTED_STALL) reports.fleet(FleetEvent.EventLoopStalled(late))
         address: SocketAddress,
         handler: RequestHandler,
     ) {
@@ -259,8 +263,8 @@
         private val DRAIN_CHECK_INTERVAL = 50.milliseconds
 
         private val SWEEP_INTERVAL = 500.milliseconds
-    }
-}
 
         /** A timer that is late by more than this is logged; small machines are late by some milliseconds all the time. */
         private val REPORTED_STALL = 100.milliseconds
+    }
+}
--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/machine/StoreReader.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/machine/StoreReader.kt
@@ -89,6 +89,10 @@
                 .all { it }
         }
 
+    /** Reads what the store has beyond the records held, whoever read those; returns whether targets and orders were read. */
+    public suspend fun catchUp(): Boolean =
+        readNew(Feed.TARGETS, Duration.ZERO, CATCH_UP_TIMEOUT) && readNew(Feed.OPERATOR, Duration.ZERO, CATCH_UP_TIMEOUT)
+
     /** Reads the verdicts written since the last read; returns whether the store answered. */
     public suspend fun readVerdicts(): Boolean = readNew(Feed.VERDICTS, Duration.ZERO, READ_TIMEOUT)
 
@@ -97,15 +101,16 @@
         wait: Duration,
         timeout: Duration,
     ): Boolean {
-        val position = positions[feed] ?: return load(feed)
+        val position = positionOf(feed) ?: return load(feed)
         val askedAt = clock()
+        val askedEpoch = epoch ?: state.epoch
         val result = withTimeoutOrNull(timeout) { store.read(feed, position, wait) } ?: StoreResult.Unavailable("no answer")
         return when (result) {
             is StoreResult.Done -> {
                 if (isOutdated(result.value)) return recordFailure(feed, OUTDATED)
                 recordSuccess()
                 // The position belongs to a history that the store has lost: what it gave out again before the position is unknown.
-                if (enterEpoch(result.value.epoch)) return load()
+                if (enterEpoch(result.value.epoch) || result.value.epoch != askedEpoch) return load()
                 apply(result.value)
                 state.markComplete(feed, result.value.end)
                 positions.merge(feed, result.value.end, ::maxOf)
@@ -118,6 +123,12 @@
         }
     }
 
+    /** The offset to read [feed] from, which peers may have told; null when it must be loaded. */
+    private fun positionOf(feed: Feed): Long? {
+        val told = if (epoch == null || epoch == state.epoch) state.completeThrough()[feed] else null
+        return listOfNotNull(positions[feed], told).maxOrNull()
+    }
+
     private suspend fun load(feed: Feed): Boolean {
         val askedAt = clock()
         val result = withTimeoutOrNull(LOAD_TIMEOUT) { store.newest(feed) } ?: StoreResult.Unavailable("no answer")
@@ -275,6 +286,13 @@
         val reader: String,
         val factsAge: Duration,
     ) : FleetEvent
+    /** This entry VM read the store itself, or tried to, since its records had the age [factsAge] when a request was to be placed. */
+    public data class OldRecordsRefreshed(
+        val factsAge: Duration,
+        val succeeded: Boolean,
+        val took: Duration,
+    ) : FleetEvent
+
 
     /** A peer did not answer. */
     public data class PeerSilent(
--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/routing/RequestForwarder.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/routing/RequestForwarder.kt
@@ -14,7 +14,11 @@
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
-/** The shared state that forwarding decisions are based on. */
+/**
+ * The shared state that forwarding decisions are based on.
+ *
+ * @property refreshRecords is called before a request is placed, and brings old records up to date if that can be done soon.
+ */
 public class ForwarderTables(
     public val state: SharedState,
     public val targets: TargetTable,
@@ -22,6 +26,7 @@
     public val splits: SplitChooser,
     public val evidence: VersionEvidence,
     public val crashes: CrashTable,
+    public val refreshRecords: suspend () -> Unit,
 )
 
 /**
@@ -45,6 +50,7 @@
     /** Forwards [request] and returns its outcome; waits for the first load of the shared state if necessary. */
     public suspend fun forward(request: ForwardRequest<Connection, Reply>): ForwardOutcome<Reply> {
         if (!tables.state.isLoaded) withTimeoutOrNull(INITIAL_STATE_TIMEOUT) { tables.state.awaitLoad() }
+        tables.refreshRecords()
         val routes = tables.state.routes ?: return reportOutcome(request, null, null, notRun(ResultCode.NOT_READY))
         val route = routes.find(request.host, request.path) ?: return reportOutcome(request, null, null, notRun(ResultCode.NO_ROUTE))
         val serviceName = tables.splits.choose(route) ?: return reportOutcome(request, route, null, notRun(ResultCode.NO_TARGET))
--- a/goldcrestquay/src/test/kotlin/dev/goldcrestquay/machine/FakeFleet.kt
+++ b/goldcrestquay/src/test/kotlin/dev/goldcrestquay/machine/FakeFleet.kt
@@ -5,6 +5,7 @@
 import dev.goldcrestquay.move.RolloutController
 import dev.goldcrestquay.move.VersionEvidence
 import dev.goldcrestquay.routing.CrashTable
+import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.ExperimentalCoroutinesApi
 import kotlinx.coroutines.Job
 import kotlinx.coroutines.awaitCancellation
@@ -31,16 +32,17 @@
         val replicator: FleetReplicator,
         val crashes: CrashTable,
         val eventLoop: PausableDispatcher,
+        val refresher: RecordRefresher,
     ) {
         lateinit var job: Job
 
         /** The requests of peers received so far. */
         var requests = 0
-    }
-
 
         /** The records sent to peers so far. */
         var sentRecords = 0
+    }
+
     private val nodes = HashMap<SocketAddress, Node>()
     private val network = StandardTestDispatcher(scope.testScheduler)
 
@@ -80,7 +82,9 @@
             )
         val seedAddresses = seeds.map { member(it).peerAddress }
         val replicator = FleetReplicator(parts, { seedAddresses }, "${self.name}/$incarnation", clock, isFirstStart) { }
-        val node = Node(state, members, evidence, replicator, crashes, PausableDispatcher(scope.testScheduler))
+        val eventLoop = PausableDispatcher(scope.testScheduler)
+        val refresher = RecordRefresher(state, storeReader, clock, CoroutineScope(scope.backgroundScope.coroutineContext + eventLoop)) { }
+        val node = Node(state, members, evidence, replicator, crashes, eventLoop, refresher)
         nodes[self.peerAddress] = node
         node.job = scope.backgroundScope.launch(node.eventLoop) { replicator.run() }
         return node
@@ -116,11 +120,11 @@
             val node = nodes[to] ?: return@withContext null
             node.requests++
             val reply = withContext(node.eventLoop) { node.replicator.answer(request) }
+            node.sentRecords += reply.records.size
             delay(ONE_WAY_MILLISECONDS)
             if (!connected(from, to)) awaitCancellation()
             reply
         }
-            node.sentRecords += reply.records.size
 
     private companion object {
         const val ONE_WAY_MILLISECONDS = 2L
--- a/goldcrestquay/src/test/kotlin/dev/goldcrestquay/machine/OldRecordsTest.kt
+++ b/goldcrestquay/src/test/kotlin/dev/goldcrestquay/machine/OldRecordsTest.kt
@@ -134,7 +134,7 @@
             }
             val sampler = TargetSampler(clock, random, scope.backgroundScope, ProbeBudget({ 60.0 }, clock) { 1 }, probe) { }
             val budget = FleetRetryBudget({ RetryLimits(0.2, 56.0, 10.seconds) }, clock) { 1 }
-            val tables = ForwarderTables(node.state, table, budget, SplitChooser(random), node.evidence, node.crashes)
+            val tables = ForwarderTables(node.state, table, budget, SplitChooser(random), node.evidence, node.crashes, node.refresher::refreshIfOld)
             return RequestForwarder(tables, sampler, clock, random) { }
         }
 
--- a/goldcrestquay/src/test/kotlin/dev/goldcrestquay/routing/RequestForwarderTest.kt
+++ b/goldcrestquay/src/test/kotlin/dev/goldcrestquay/routing/RequestForwarderTest.kt
@@ -64,7 +64,7 @@
         val probes = ProbeBudget({ probesPerSecond }, clock) { 1 }
         val sampler = TargetSampler(clock, random, backgroundScope, probes, probe) { released += it }
         val budget = FleetRetryBudget({ RetryLimits(0.2, 56.0, 10.seconds) }, clock) { 1 }
-        val tables = ForwarderTables(state, table, budget, SplitChooser(random), VersionEvidence(clock), CrashTable(clock))
+        val tables = ForwarderTables(state, table, budget, SplitChooser(random), VersionEvidence(clock), CrashTable(clock)) { }
         return RequestForwarder(tables, sampler, clock, random) { }
     }
 
