Don't send a request to a target that left while it was probed or connected to

A request is placed, up to three rounds of probes are waited for, and a connection may take 0.5 s to open. Nobody looked again whether the target still takes requests, so these times add to the age of the records by which it was chosen.

The records are looked at once more when the connection is open, and old ones brought up to date. The request then goes to another target; it is no retry, since nothing was sent. OldRecordsTest has requests under way now when an entry VM stalls, and connections that take 0.3 s.

--- a/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/EdgeServer.kt
+++ b/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/EdgeServer.kt
@@ -163,7 +163,7 @@
                     bodyBytes = body.size,
                     arrivedAt = arrivedAt,
                     deadline = deadline,
-                    send = { target, connection, remaining -> targets.send(outgoing, target, connection, remaining) },
+                    send = { dispatch -> targets.send(outgoing, dispatch) },
                     computeFingerprint = { requestFingerprint(outgoing.method, request.getHeader("host").orEmpty(), outgoing.uri, body) },
                 )
             this.forward = forward
--- a/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/TargetExchange.kt
+++ b/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/TargetExchange.kt
@@ -6,6 +6,7 @@
 import dev.goldcrestquay.link.Refusal
 import dev.goldcrestquay.link.SendResult
 import dev.goldcrestquay.machine.RegisteredTarget
+import dev.goldcrestquay.routing.Dispatch
 import dev.goldcrestquay.routing.LoadSample
 import dev.goldcrestquay.routing.ProbeResult
 import io.netty.buffer.Unpooled
@@ -15,6 +16,7 @@
 import io.netty.handler.codec.http.HttpResponse
 import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.HttpVersion
+import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.withTimeoutOrNull
 import org.apache.logging.log4j.LogManager
 import java.io.ByteArrayOutputStream
@@ -134,21 +136,27 @@
         }
     }
 
-    /** Sends [request] to [target] over the connection [probed], or over a new one when that is null or closed. */
+    /** Sends [request] over the connection of its [dispatch], or over a new one when that is null or closed. */
     internal suspend fun send(
         request: EdgeRequest,
-        target: RegisteredTarget,
-        probed: OriginConnection?,
-        remaining: Duration,
+        dispatch: Dispatch<OriginConnection>,
     ): SendResult<EdgeReply> {
-        val connection =
+        val target = dispatch.target
+        var connection = connect(target, dispatch.connection) ?: return SendResult.Refused(Refusal.CONNECTION_REFUSED)
+        val isConfirmed =
             try {
-                probed?.takeIf { it.isUsable } ?: pool.open(target.address)
-            } catch (_: IOException) {
-                return SendResult.Refused(Refusal.CONNECTION_REFUSED)
+                dispatch.confirm()
+            } catch (exception: CancellationException) {
+                pool.release(connection)
+                throw exception
             }
+        if (!isConfirmed) {
+            pool.release(connection)
+            return SendResult.Refused(Refusal.WITHDRAWN)
+        }
+        connection = connect(target, connection) ?: return SendResult.Refused(Refusal.CONNECTION_REFUSED)
         return try {
-            val reply = connection.send(outgoingRequest(request, target, remaining)) { isResponseTo(request, it) }
+            val reply = connection.send(outgoingRequest(request, target, dispatch.remaining)) { isResponseTo(request, it) }
             noteKeepAlive(target, reply.head)
             receive(reply, connection)
         } catch (_: OriginException) {
@@ -156,6 +164,17 @@
         }
     }
 
+    /** The [present] connection to [target] if it can be used, or else a new one; null when none can be opened. */
+    private suspend fun connect(
+        target: RegisteredTarget,
+        present: OriginConnection?,
+    ): OriginConnection? =
+        try {
+            present?.takeIf { it.isUsable } ?: pool.open(target.address)
+        } catch (_: IOException) {
+            null
+        }
+
     /** A signed response names its request; a late copy that does not is taken for no answer. A refusal may name none. */
     private fun isResponseTo(
         request: EdgeRequest,
--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/link/TargetLink.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/link/TargetLink.kt
@@ -43,6 +43,9 @@
 
     /** A hop behind the target has no attempts left or is overloaded; a retry would amplify the load. */
     EXHAUSTED,
+
+    /** The target left before the request was sent to it; nothing was sent. */
+    WITHDRAWN,
 }
 
 /** The result of sending a call to a target. */
--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/routing/ForwardOutcome.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/routing/ForwardOutcome.kt
@@ -35,13 +35,28 @@
     public val connection: Connection,
 )
 
+/**
+ * Where a request is to be sent.
+ *
+ * @property connection the connection to use, or null to open a new one.
+ * @property remaining the time left.
+ * @property confirm must be called once the connection is open; if it returns false, the target may no longer get the request, which
+ *   ends with [dev.goldcrestquay.link.Refusal.WITHDRAWN].
+ */
+public class Dispatch<Connection>(
+    public val target: RegisteredTarget,
+    public val connection: Connection?,
+    public val remaining: Duration,
+    public val confirm: suspend () -> Boolean,
+)
+
 /**
  * One request to forward on the platform. Its content is held by [send]. A [Call] is the counterpart of the project's own interface.
  *
  * @property host the host without the port.
  * @property path the path without the query.
  * @property deadline how long the caller waits, counted from [arrivedAt]; null if the request states no deadline.
- * @property send sends the request over the given connection, or over a new one if that is null; the duration is the time left.
+ * @property send sends the request; see [Dispatch].
  * @param computeFingerprint returns a hash of the method, host, path, query and body: the same for each attempt at the same request.
  */
 public class ForwardRequest<Connection, Reply>(
@@ -51,7 +66,7 @@
     public val bodyBytes: Int,
     public val arrivedAt: Duration,
     public val deadline: Duration?,
-    public val send: suspend (RegisteredTarget, Connection?, Duration) -> SendResult<Reply>,
+    public val send: suspend (Dispatch<Connection>) -> SendResult<Reply>,
     computeFingerprint: () -> Long,
 ) {
     /** Identifies what is asked for: the same when a caller asks again, also at another entry VM. */
--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/routing/RequestForwarder.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/routing/RequestForwarder.kt
@@ -94,6 +94,9 @@
         private val timeLimit = listOfNotNull(request.deadline, route.timeout).minOrNull() ?: DEFAULT_TIMEOUT
         private val tried = HashSet<String>()
 
+        /** The attempts that the retry budget was asked for; the first one is free. */
+        private var paidAttempts = 1
+
         private val callerAge = callerAges.estimate(route.name, request.deadline)
 
         private val remaining: Duration get() = timeLimit - (clock() - request.arrivedAt)
@@ -111,13 +114,15 @@
 
         suspend fun run(): ForwardOutcome<Reply> {
             var last: ForwardOutcome<Reply> = notRun(ResultCode.NO_TARGET)
-            for (attempt in 1..route.maximumAttempts.coerceAtLeast(1)) {
+            var attempt = 1
+            while (attempt <= route.maximumAttempts.coerceAtLeast(1)) {
                 if (!request.isCallerWaiting) return ForwardOutcome.Unknown(ResultCode.CALL_CANCELLED)
                 if (remaining < MINIMUM_TIME_LEFT) return if (attempt == 1) notRun(ResultCode.DEADLINE_PASSED) else last
                 blockedFor()?.let { return combineOutcomes(last, ForwardOutcome.NotRun(ResultCode.BLOCKED, it)) }
                 val candidates = tables.targets.candidates(service.name, tried)
                 if (candidates.isEmpty()) return last
-                if (attempt > 1 && !tables.budget.tryTake(service.name)) return last
+                if (attempt > paidAttempts && !tables.budget.tryTake(service.name)) return last
+                paidAttempts = attempt
                 val chosen = sampler.choose(candidates, service, transferBytes, acceptableFactor(), tables.state.age() > OLD_RECORDS_AGE)
                 val expected = serviceTime(route.name) * chosen.expectedFactor
                 val view = AdmissionView(expected, chosen.excess, objectiveLeft, remaining, route.priority)
@@ -126,6 +131,7 @@
                 val sendOutcome = attempt(attempt, chosen, expected)
                 last = combineOutcomes(last, sendOutcome.outcome)
                 if (!sendOutcome.mayRetry) return last
+                if (sendOutcome.reachedTarget) attempt++
             }
             return last
         }
@@ -166,7 +172,8 @@
             var result: SendResult<Reply>? = null
             request.isCancellable = route.kind.idempotent
             try {
-                result = withTimeoutOrNull(left) { request.send(target, chosen.connection, left) }
+                val dispatch = Dispatch(target, chosen.connection, left) { mayStillGetRequests(target) }
+                result = withTimeoutOrNull(left) { request.send(dispatch) }
                     ?: SendResult.Broken(ResultCode.DEADLINE_EXCEEDED)
             } finally {
                 request.isCancellable = true
@@ -182,6 +189,12 @@
             return outcomeOf(target, result)
         }
 
+        /** The target may have left while it was probed, or a connection opened to it. */
+        private suspend fun mayStillGetRequests(target: RegisteredTarget): Boolean {
+            tables.refreshRecords()
+            return tables.targets.mayGetRequests(target)
+        }
+
         /** Records that a lost connection may mean that the target ended, or that it answered; returns the count in the first case. */
         private fun recordCrash(
             result: SendResult<Reply>,
@@ -209,8 +222,9 @@
                     tables.evidence.recordAnswer(tickets.evidence, result.failed)
                 }
                 is SendResult.Refused -> {
-                    health.recordShed(tickets.health)
                     tables.evidence.recordInconclusive(tickets.evidence)
+                    if (result.refusal == Refusal.WITHDRAWN) return health.recordInconclusive(tickets.health)
+                    health.recordShed(tickets.health)
                     if (result.refusal != Refusal.SHEDDING) health.recordUnreachable()
                 }
                 is SendResult.Broken -> {
@@ -241,7 +255,8 @@
         ): SendOutcome<Reply> =
             when (result) {
                 is SendResult.Replied -> SendOutcome(ForwardOutcome.Answered(result.reply, target), result.failed && route.kind.idempotent)
-                is SendResult.Refused -> SendOutcome(notRun(ResultCode.TARGET_REFUSED), true)
+                is SendResult.Refused ->
+                    SendOutcome(notRun(ResultCode.TARGET_REFUSED), mayRetry = true, reachedTarget = result.refusal != Refusal.WITHDRAWN)
                 is SendResult.Broken -> SendOutcome(ForwardOutcome.Unknown(result.code), route.kind.idempotent)
             }
 
@@ -298,6 +313,7 @@
     private class SendOutcome<Reply>(
         val outcome: ForwardOutcome<Reply>,
         val mayRetry: Boolean,
+        val reachedTarget: Boolean = true,
     )
 
     private companion object {
--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/routing/ServiceTable.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/routing/ServiceTable.kt
@@ -329,7 +329,7 @@
             Refusal.DRAINING -> state.recordDraining(now)
             Refusal.SHEDDING -> state.limit.recordShed(state.inFlight + 1)
             Refusal.CONNECTION_REFUSED -> state.recordFailure(now)
-            Refusal.EXHAUSTED -> Unit
+            Refusal.EXHAUSTED, Refusal.WITHDRAWN -> Unit
         }
         if (end.refusal != Refusal.CONNECTION_REFUSED) state.ejection.recordInconclusive()
     }
--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/routing/TargetTable.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/routing/TargetTable.kt
@@ -62,6 +62,12 @@
             .filter { isWithinRequestLimit(it) }
     }
 
+    /** Whether [target] is still registered to take requests, in a data centre that gets any. */
+    public fun mayGetRequests(target: RegisteredTarget): Boolean {
+        rebuildIfStale()
+        return byService[target.service].orEmpty().any { it.target.id == target.id }
+    }
+
     private fun isWithinRequestLimit(candidate: TargetCandidate): Boolean {
         val limit = candidate.health.requestLimit ?: return true
         return candidate.health.isSpacedBy(requestLimitShares.interval(candidate.target.id, limit))
--- a/goldcrestquay/src/test/kotlin/dev/goldcrestquay/machine/OldRecordsTest.kt
+++ b/goldcrestquay/src/test/kotlin/dev/goldcrestquay/machine/OldRecordsTest.kt
@@ -1,6 +1,7 @@
 package dev.goldcrestquay.machine
 
 import dev.goldcrestquay.contract.RequestKind
+import dev.goldcrestquay.link.Refusal
 import dev.goldcrestquay.link.SendResult
 import dev.goldcrestquay.planRecord
 import dev.goldcrestquay.registeredTarget
@@ -95,7 +96,10 @@
     private fun TestScope.pause(
         node: FakeFleet.Node,
         duration: Duration,
-    ) = backgroundScope.launch { stall(node, duration) }
+    ) = backgroundScope.launch {
+        delay(BEFORE_STALL)
+        stall(node, duration)
+    }
 
     private suspend fun stall(
         node: FakeFleet.Node,
@@ -152,20 +156,15 @@
         }
 
         private fun request(arrivedAt: Duration) =
-            ForwardRequest<String, String>("r", "shop.example", "/${RequestKind.SAFE.name.lowercase()}/x", 0, arrivedAt, 10.seconds, {
-                target,
-                _,
-                _,
-                ->
-                arrivals +=
-                    Arrival(
-                        target.id,
-                        node.state.routes
-                            ?.plan
-                            ?.version ?: -1,
-                        clock(),
-                    )
-                SendResult.Replied("done")
+            ForwardRequest<String, String>("r", "shop.example", "/${RequestKind.SAFE.name.lowercase()}/x", 0, arrivedAt, 10.seconds, { dispatch ->
+                val planVersion = checkNotNull(node.state.routes).plan.version
+                delay(CONNECT_TIME)
+                if (dispatch.confirm()) {
+                    arrivals += Arrival(dispatch.target.id, planVersion, clock())
+                    SendResult.Replied("done")
+                } else {
+                    SendResult.Refused(Refusal.WITHDRAWN)
+                }
             }) { 1 }
     }
 
@@ -211,3 +210,12 @@
         val BOUND = 2.seconds
     }
 }
+
+        /** Requests are under way when an entry VM stalls. */
+        val BEFORE_STALL = 400.milliseconds
+
+        /** Longer than the outage of the store after which targets register again. */
+        val STALL = 3400.milliseconds
+
+        /** The time that opening a connection to a busy target takes. */
+        val CONNECT_TIME = 300.milliseconds
--- a/goldcrestquay/src/test/kotlin/dev/goldcrestquay/routing/CrashingRequestTest.kt
+++ b/goldcrestquay/src/test/kotlin/dev/goldcrestquay/routing/CrashingRequestTest.kt
@@ -92,9 +92,9 @@
             val now = { scope.currentTime.milliseconds }
             val fullPath = "/${kind.name.lowercase()}/$path"
             val request =
-                ForwardRequest<String, String>("r", "shop.example", fullPath, 0, now(), 1500.milliseconds, { target, _, _ ->
+                ForwardRequest<String, String>("r", "shop.example", fullPath, 0, now(), 1500.milliseconds, { dispatch ->
                     if (isCrashing) sends += now()
-                    targets.getValue(target.id).run(isCrashing).also { if (isCrashing && it is SendResult.Broken) crashes += now() }
+                    targets.getValue(dispatch.target.id).run(isCrashing).also { if (isCrashing && it is SendResult.Broken) crashes += now() }
                 }) { requestFingerprint("GET", "shop.example", fullPath, ByteArray(0)) }
             return forwarders.getValue(node).forward(request)
         }
--- a/goldcrestquay/src/test/kotlin/dev/goldcrestquay/routing/RequestForwarderTest.kt
+++ b/goldcrestquay/src/test/kotlin/dev/goldcrestquay/routing/RequestForwarderTest.kt
@@ -73,9 +73,9 @@
         deadline: Duration? = 3.seconds,
         send: suspend (RegisteredTarget) -> SendResult<String>,
     ): ForwardRequest<String, String> =
-        ForwardRequest("r1", "shop.example", "/${kind.name.lowercase()}/x", 0, currentTime.milliseconds, deadline, { target, _, _ ->
-            sentTo += target.id
-            send(target)
+        ForwardRequest("r1", "shop.example", "/${kind.name.lowercase()}/x", 0, currentTime.milliseconds, deadline, { dispatch ->
+            sentTo += dispatch.target.id
+            send(dispatch.target)
         }) { 1 }
 
     private val threeTargets = listOf("a", "b", "c").map { registeredTarget(it) }
@@ -104,6 +104,18 @@
             sentTo shouldBe listOf("leaving", "slowed")
         }
 
+    @Test
+    fun `a request whose target leaves before it is sent goes to another one, without a retry`() =
+        runTest {
+            val forwarder = forwarder(threeTargets, plan = routePlan(routes = listOf(plannedRoute(RequestKind.UNSAFE, attempts = 1))))
+            val outcome =
+                forwarder.forward(request(RequestKind.UNSAFE) {
+                    if (sentTo.size < 3) SendResult.Refused(Refusal.WITHDRAWN) else SendResult.Replied("done")
+                })
+            outcome.shouldBeInstanceOf<ForwardOutcome.Answered<String>>()
+            sentTo.toSet() shouldHaveSize 3
+        }
+
     @Test
     fun `a target gets requests again once it names no limit`() =
         runTest {
@@ -306,7 +318,7 @@
                     0,
                     Duration.ZERO,
                     null,
-                    { _, _, _ -> SendResult.Broken() },
+                    { _ -> SendResult.Broken() },
                 ) { 1 }
             forwarder.forward(unroutable).shouldBeInstanceOf<ForwardOutcome.NotRun>().code shouldBe ResultCode.NO_ROUTE
         }
