Don't take an entry VM's own stall for an outage of the store

Targets that are removed after an outage of the store are kept for 2.2 s, since running ones register again. Records older than 3 s counted as an outage, so an entry VM that stalled for longer kept on sending to targets that had left.

Now only an entry VM whose own calls failed meanwhile takes old records for an outage.

--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/machine/StoreReader.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/machine/StoreReader.kt
@@ -158,14 +158,13 @@
     /**
      * Records that the store answered. After an outage, targets that were removed may register again and are kept for a short while.
      *
-     * Failed calls of this entry VM alone are no outage: targets reach the store without it, and those that were removed have left.
+     * Neither failed calls of this entry VM alone nor old records alone are an outage: targets reach the store without it, and an entry VM
+     * that stalled has made no call. Those that were removed then have left.
      */
     private fun recordSuccess() {
-        val since = failingSince
-        if (since != null) {
-            failingSince = null
-            report(FleetEvent.StoreReturned(clock() - since))
-        }
+        val since = failingSince ?: return
+        failingSince = null
+        report(FleetEvent.StoreReturned(clock() - since))
         if (state.confirmedAt != null && state.age() > OUTAGE_AGE) state.awaitRewrites()
     }
 
@@ -211,6 +210,9 @@
          */
         val LONG_POLL_MARGIN = 400.milliseconds
 
+        /** A store whose reads take longer is slow: many times the usual few milliseconds. */
+        val SLOW_READ = 100.milliseconds
+
         /** A slow store answers within this; the read from one that does not answer ends early enough for another entry VM to lead. */
         val READ_TIMEOUT = 900.milliseconds
 
@@ -222,9 +224,6 @@
 
         /** Loading takes several calls, since the records of a large fleet come in pages. */
         val LOAD_TIMEOUT = 1500.milliseconds
-        /** A store whose reads take longer is slow: many times the usual few milliseconds. */
-        val SLOW_READ = 100.milliseconds
-
 
         /**
          * Records older than this mean that the store served no entry VM, since another one leads within two seconds otherwise.
@@ -286,6 +285,7 @@
         val reader: String,
         val factsAge: Duration,
     ) : FleetEvent
+
     /** This entry VM read the store itself, or tried to, since its records had the age [factsAge] when a request was to be placed. */
     public data class OldRecordsRefreshed(
         val factsAge: Duration,
@@ -293,7 +293,6 @@
         val took: Duration,
     ) : FleetEvent
 
-
     /** A peer did not answer. */
     public data class PeerSilent(
         val peer: String,
@@ -304,6 +303,11 @@
         val reason: String,
     ) : FleetEvent
 
+    /** The event loop ran a timer [late]: this entry VM had no processor time, or one task took long. */
+    public data class EventLoopStalled(
+        val late: Duration,
+    ) : FleetEvent
+
     /** Records or the member list changed. */
     public data class FactsChanged(
         val sequence: Long,
@@ -319,8 +323,3 @@
         val reason: String,
     ) : FleetEvent
 }
-    /** The event loop ran a timer [late]: this entry VM had no processor time, or one task took long. */
-    public data class EventLoopStalled(
-        val late: Duration,
-    ) : FleetEvent
-
--- a/goldcrestquay/src/test/kotlin/dev/goldcrestquay/machine/OldRecordsTest.kt
+++ b/goldcrestquay/src/test/kotlin/dev/goldcrestquay/machine/OldRecordsTest.kt
@@ -37,6 +37,13 @@
 /** Guards that no request is placed by records that are older than the bounds of the changes in them, however they came to be old. */
 @OptIn(ExperimentalCoroutinesApi::class)
 class OldRecordsTest {
+    private enum class Departure(
+        val record: (Long) -> SharedRecord,
+    ) {
+        REPORTED({ targetRecord(registeredTarget("left", TargetPhase.DRAINING, heartbeat = 2), it) }),
+        UNREPORTED({ TargetRecord("left", it, null) }),
+    }
+
     /** Trouble in a fleet that goes on for some seconds; returns the entry VM that it is about. */
     private class Trouble(
         val name: String,
@@ -48,13 +55,13 @@
     private val troubles =
         listOf(
             Trouble("none") { fleet, _ -> fleet.follower() },
-            Trouble("a follower that stalls") { fleet, _ -> fleet.follower().also { pause(it, 2300.milliseconds) } },
+            Trouble("a follower that stalls") { fleet, _ -> fleet.follower().also { pause(it, STALL) } },
             Trouble("a follower that stalls again and again") { fleet, _ ->
                 fleet.follower().also { launch { repeat(6) { _ -> stall(it, 600.milliseconds).also { delay(60) } } } }
             },
-            Trouble("the leader that stalls") { fleet, _ -> fleet.leaders.single().also { pause(it, 2300.milliseconds) } },
+            Trouble("the leader that stalls") { fleet, _ -> fleet.leaders.single().also { pause(it, STALL) } },
             Trouble("a follower of a leader that stalls") { fleet, _ ->
-                pause(fleet.leaders.single(), 2300.milliseconds)
+                pause(fleet.leaders.single(), STALL)
                 fleet.follower()
             },
             Trouble("a follower of a leader that the store does not answer") { fleet, store ->
@@ -80,7 +87,7 @@
                         .single()
                         .members.self
                 val sources = fleet.running.filter { it.requests > 40 && it.members.self != leader }
-                sources.forEach { pause(it, 2300.milliseconds) }
+                sources.forEach { pause(it, STALL) }
                 fleet.running.first {
                     it !in sources &&
                         it.members.self.dataCentre ==
@@ -171,6 +178,7 @@
     /** The requests that reach the target that leaves, or are handled by the old plan, 2 s and more after the change. */
     private suspend fun TestScope.lateRequests(
         trouble: Trouble,
+        departure: Departure,
         untilChange: Duration,
     ): List<Arrival> {
         val store = FakeStore()
@@ -181,7 +189,7 @@
         delay(5.seconds)
         launch {
             delay(untilChange)
-            store.write(Feed.TARGETS) { targetRecord(registeredTarget("left", TargetPhase.DRAINING, heartbeat = 2), it) }
+            store.write(Feed.TARGETS, departure.record)
             store.write(Feed.OPERATOR) { planRecord(2, it) }
         }
         val changedAt = currentTime.milliseconds + untilChange
@@ -196,20 +204,45 @@
         runTest {
             assertSoftly {
                 for (trouble in troubles) {
-                    for (untilChange in 0..1600 step 100) {
-                        withClue("${trouble.name}, change after $untilChange ms") {
-                            lateRequests(trouble, untilChange.milliseconds).take(2).shouldBeEmpty()
+                    for (departure in Departure.entries) {
+                        for (untilChange in 0..1600 step 100) {
+                            withClue("${trouble.name}, $departure after $untilChange ms") {
+                                lateRequests(trouble, departure, untilChange.milliseconds).take(2).shouldBeEmpty()
+                            }
                         }
                     }
                 }
             }
         }
 
+    @Test
+    fun `an answer of the store that is handled late does not make the records young`() =
+        runTest {
+            for (untilStall in 0..900 step 50) {
+                val store = FakeStore()
+                store.write(Feed.OPERATOR) { planRecord(1, it) }
+                val fleet = FakeFleet(this, store)
+                repeat(3) { fleet.start(it + 1) }
+                delay(5000L + untilStall)
+                val leader = fleet.leaders.single()
+                leader.eventLoop.isPaused = true
+                delay(1200)
+                store.write(Feed.OPERATOR) { planRecord(2, it) }
+                val changedAt = currentTime.milliseconds
+                delay(50)
+                leader.eventLoop.isPaused = false
+                repeat(100) {
+                    delay(1)
+                    val outdated = fleet.running.filter { it.state.routes?.plan?.version == 1L }
+                    outdated.filter { checkNotNull(it.state.confirmedAt) > changedAt }.shouldBeEmpty()
+                }
+                fleet.running.toList().forEach { fleet.kill(it) }
+            }
+        }
+
     private companion object {
         /** The time within which the users want a plan in force and a leaving target unused. */
         val BOUND = 2.seconds
-    }
-}
 
         /** Requests are under way when an entry VM stalls. */
         val BEFORE_STALL = 400.milliseconds
@@ -219,3 +252,5 @@
 
         /** The time that opening a connection to a busy target takes. */
         val CONNECT_TIME = 300.milliseconds
+    }
+}
