--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/machine/FleetMembers.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/machine/FleetMembers.kt
@@ -198,7 +198,11 @@
 
     /** The peer addresses of all members and [seeds], this entry VM's included, in an order that is the same on every entry VM. */
     public fun candidates(seeds: List<SocketAddress>): List<SocketAddress> =
-        (alive.map { it.peerAddress } + seeds).distinct().map { it to stableHash(it.toString()) }.sortedBy { it.second }.map { it.first }
+        (alive.map { it.peerAddress } + seeds)
+            .distinct()
+            .map { it to stableHash(it.toString()) }
+            .sortedBy { it.second }
+            .map { it.first }
 
     private fun observedChanged() {
         observedVersion++
--- a/goldcrestquay/src/test/kotlin/dev/goldcrestquay/machine/OldRecordsTest.kt
+++ b/goldcrestquay/src/test/kotlin/dev/goldcrestquay/machine/OldRecordsTest.kt
@@ -145,7 +145,8 @@
             }
             val sampler = TargetSampler(clock, random, scope.backgroundScope, ProbeBudget({ 60.0 }, clock) { 1 }, probe) { }
             val budget = FleetRetryBudget({ RetryLimits(0.2, 56.0, 10.seconds) }, clock) { 1 }
-            val tables = ForwarderTables(node.state, table, budget, SplitChooser(random), node.evidence, node.crashes, node.refresher::refreshIfOld)
+            val tables =
+                ForwarderTables(node.state, table, budget, SplitChooser(random), node.evidence, node.crashes, node.refresher::refreshIfOld)
             return RequestForwarder(tables, sampler, clock, random) { }
         }
 
@@ -233,7 +234,12 @@
                 leader.eventLoop.isPaused = false
                 repeat(100) {
                     delay(1)
-                    val outdated = fleet.running.filter { it.state.routes?.plan?.version == 1L }
+                    val outdated =
+                        fleet.running.filter {
+                            it.state.routes
+                                ?.plan
+                                ?.version == 1L
+                        }
                     outdated.filter { checkNotNull(it.state.confirmedAt) > changedAt }.shouldBeEmpty()
                 }
                 fleet.running.toList().forEach { fleet.kill(it) }
--- a/goldcrestquay/src/test/kotlin/dev/goldcrestquay/routing/CrashingRequestTest.kt
+++ b/goldcrestquay/src/test/kotlin/dev/goldcrestquay/routing/CrashingRequestTest.kt
@@ -94,7 +94,13 @@
             val request =
                 ForwardRequest<String, String>("r", "shop.example", fullPath, 0, now(), 1500.milliseconds, { dispatch ->
                     if (isCrashing) sends += now()
-                    targets.getValue(dispatch.target.id).run(isCrashing).also { if (isCrashing && it is SendResult.Broken) crashes += now() }
+                    targets.getValue(dispatch.target.id).run(isCrashing).also {
+                        if (isCrashing &&
+                            it is SendResult.Broken
+                        ) {
+                            crashes += now()
+                        }
+                    }
                 }) { requestFingerprint("GET", "shop.example", fullPath, ByteArray(0)) }
             return forwarders.getValue(node).forward(request)
         }
@@ -111,7 +117,8 @@
                     if (targets.getValue(target.id).isRunning) ProbeResult(LoadSample(0, 0, 4, 1.0, true), target.id) else null
                 }) { }
             val budget = FleetRetryBudget({ RetryLimits(0.2, 56.0, 10.seconds) }, clock) { members().size }
-            val tables = ForwarderTables(node.state, table, budget, SplitChooser(random), node.evidence, node.crashes, node.refresher::refreshIfOld)
+            val tables =
+                ForwarderTables(node.state, table, budget, SplitChooser(random), node.evidence, node.crashes, node.refresher::refreshIfOld)
             return RequestForwarder(tables, sampler, clock, random) { }
         }
     }
--- a/goldcrestquay/src/test/kotlin/dev/goldcrestquay/routing/RequestForwarderTest.kt
+++ b/goldcrestquay/src/test/kotlin/dev/goldcrestquay/routing/RequestForwarderTest.kt
@@ -109,9 +109,11 @@
         runTest {
             val forwarder = forwarder(threeTargets, plan = routePlan(routes = listOf(plannedRoute(RequestKind.UNSAFE, attempts = 1))))
             val outcome =
-                forwarder.forward(request(RequestKind.UNSAFE) {
-                    if (sentTo.size < 3) SendResult.Refused(Refusal.WITHDRAWN) else SendResult.Replied("done")
-                })
+                forwarder.forward(
+                    request(RequestKind.UNSAFE) {
+                        if (sentTo.size < 3) SendResult.Refused(Refusal.WITHDRAWN) else SendResult.Replied("done")
+                    },
+                )
             outcome.shouldBeInstanceOf<ForwardOutcome.Answered<String>>()
             sentTo.toSet() shouldHaveSize 3
         }
