Serve callers of cut-off entry VMs by way of other entry VMs

Callers of entry VMs that had lost their way to all targets got 503 or 504 after 0.7 to 1.3 s, and were served 8 of 330 first attempts, while those of the others were served 247 of 247.

Cause: an entry VM had no way to the targets but its own connections, and nothing told it that they were all gone; each attempt was spent on the next target that it could not reach. Class: a local loss that the system has the means to make good, and nobody asks.

It tells its peers with its heartbeat, so that one does not relay to another, and nobody relays when the targets themselves are down. A cut-off entry VM has a peer serve the request: in its own data centre unless most of that is cut off, with the time that has passed and the attempts that are left. The peer takes 16 such requests at a time at most, refuses others at once as not run, and never relays. What a peer refuses as not run may go to two further peers; what may have run is not sent again. Lost connections don't count as ended targets meanwhile.

--- a/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/CallHeaders.kt
+++ b/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/CallHeaders.kt
@@ -26,6 +26,9 @@
      */
     const val NOT_RUN = "goldcrestquay-not-run"
 
+    /** In a request that one entry VM has another one serve, the terms of it; in the response, whether it is a target's answer. */
+    const val RELAY = "goldcrestquay-relay"
+
     /** The key that identifies a non-idempotent call across its retries. */
     const val IDEMPOTENCY_KEY = "idempotency-key"
 
--- a/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/DecisionLog.kt
+++ b/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/DecisionLog.kt
@@ -134,6 +134,16 @@
                     put("crashes", it.crashes)
                 }
             }
+            is ForwardEvent.RelayReceived -> {
+                put("from", event.from)
+                put("elapsed_ms", event.elapsed.inWholeMilliseconds)
+                put("attempts", event.attempts)
+            }
+            is ForwardEvent.Relayed -> {
+                put("peer", event.peer)
+                put("outcome", event.outcome)
+                put("took_ms", event.took.inWholeMilliseconds)
+            }
             is ForwardEvent.Ended -> {
                 put("route", event.route)
                 put("service", event.service)
@@ -178,6 +188,7 @@
             }
             is FleetEvent.PeerSilent -> put("peer", event.peer)
             is FleetEvent.StepFailed -> put("reason", event.reason)
+            is FleetEvent.ReachChanged -> put("reaches_targets", event.reachesTargets)
             is FleetEvent.EventLoopStalled -> put("late_ms", event.late.inWholeMilliseconds)
             is FleetEvent.FactsChanged -> {
                 put("sequence", event.sequence)
--- /dev/null
+++ b/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/EdgeRequest.kt
@@ -0,0 +1,28 @@
+package dev.goldcrestquay.http.edge
+
+import io.netty.buffer.Unpooled
+import io.netty.handler.codec.http.DefaultFullHttpRequest
+import io.netty.handler.codec.http.HttpHeaderNames
+import io.netty.handler.codec.http.HttpMethod
+import io.netty.handler.codec.http.HttpVersion
+
+/** A caller's request with its complete body; [headers] leave out those that concern one connection only. */
+class EdgeRequest(
+    val id: String,
+    val method: String,
+    val uri: String,
+    val headers: List<Pair<String, String>>,
+    val body: ByteArray,
+) {
+    /** The request as it is sent on. */
+    internal fun toHttp(): DefaultFullHttpRequest {
+        val request = DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.valueOf(method), uri, Unpooled.wrappedBuffer(body))
+        headers.forEach { (name, value) -> request.headers().add(name, value) }
+        if (body.isNotEmpty() || method in METHODS_WITH_BODY) request.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.size)
+        return request
+    }
+
+    private companion object {
+        val METHODS_WITH_BODY = setOf("POST", "PUT", "PATCH")
+    }
+}
--- a/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/EdgeServer.kt
+++ b/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/EdgeServer.kt
@@ -9,6 +9,7 @@
 import dev.goldcrestquay.machine.SocketAddress
 import dev.goldcrestquay.routing.ForwardOutcome
 import dev.goldcrestquay.routing.ForwardRequest
+import dev.goldcrestquay.routing.RelayTerms
 import dev.goldcrestquay.routing.RequestForwarder
 import dev.goldcrestquay.routing.requestFingerprint
 import io.vertx.core.Vertx
@@ -41,6 +42,7 @@
     private val state: SharedState,
     private val protocol: TargetProtocol,
     private val targets: TargetExchange,
+    private val relay: PeerRelay,
     private val forwarder: Forwarder,
     private val clock: Clock,
     private val scope: CoroutineScope,
@@ -49,6 +51,7 @@
     private val quietSince = HashMap<HttpConnection, Duration>()
     private val pendingRequests = HashMap<HttpConnection, Int>()
     private var bodyBytes = 0L
+    private var relayedRequests = 0
 
     /** Whether the entry VM is about to stop; each response then closes its connection. */
     var isLeaving = false
@@ -70,7 +73,7 @@
             .connectionHandler { connection ->
                 quietSince[connection] = clock()
                 connection.closeHandler { quietSince -= connection }
-            }.requestHandler { handle(it) }
+            }.requestHandler { handle(it, null) }
             .listen()
             .coAwait()
     }
@@ -90,13 +93,25 @@
         quietSince.filter { (connection, at) -> at <= since && connection !in pendingRequests }.keys.forEach { it.close() }
     }
 
-    private fun handle(request: HttpServerRequest) {
-        val arrivedAt = clock()
+    /** Serves a request that another entry VM relays, on the [origin] that it names; false when those are unreadable. */
+    fun handleRelayed(request: HttpServerRequest): Boolean {
+        val origin = PeerRelay.parse(request.getHeader(CallHeaders.RELAY).orEmpty()) ?: return false
+        handle(request, origin)
+        return true
+    }
+
+    private fun handle(
+        request: HttpServerRequest,
+        origin: RelayTerms?,
+    ) {
+        val arrivedAt = clock() - (origin?.elapsed ?: Duration.ZERO)
         pendingRequests.merge(request.connection(), 1, Int::plus)
-        val exchange = CallerExchange(request, arrivedAt)
+        if (origin != null) relayedRequests++
+        val exchange = CallerExchange(request, arrivedAt, origin)
         val job = scope.launch(start = CoroutineStart.LAZY) { exchange.run() }
         exchange.job = job
         job.invokeOnCompletion {
+            if (origin != null) relayedRequests--
             pendingRequests.computeIfPresent(request.connection()) { _, count -> (count - 1).takeIf { it > 0 } }
             quietSince.computeIfPresent(request.connection()) { _, _ -> clock() }
         }
@@ -107,6 +122,7 @@
     private inner class CallerExchange(
         private val request: HttpServerRequest,
         private val arrivedAt: Duration,
+        private val origin: RelayTerms?,
     ) {
         private val response: HttpServerResponse = request.response()
         private val headers = request.headers().map { it.key to it.value }
@@ -142,6 +158,7 @@
 
         private suspend fun serve() {
             if (isRefusing) return refuse(ResultCode.LEAVING, LEAVING_RETRY_DELAY)
+            if (origin != null && relayedRequests > MAXIMUM_RELAYED_REQUESTS) return refuse(ResultCode.OVERLOADED, RELAY_RETRY_DELAY)
             val limits = state.routes?.plan?.limits
             forward(readBody(limits?.maximumBodyBytes ?: Long.MAX_VALUE) ?: return)
         }
@@ -164,6 +181,8 @@
                     arrivedAt = arrivedAt,
                     deadline = deadline,
                     send = { dispatch -> targets.send(outgoing, dispatch) },
+                    relay = { peer, terms -> relay.relay(outgoing, peer, terms) },
+                    origin = origin,
                     computeFingerprint = { requestFingerprint(outgoing.method, request.getHeader("host").orEmpty(), outgoing.uri, body) },
                 )
             this.forward = forward
@@ -221,6 +240,7 @@
             }
             response.setStatusCode(reply.status).setStatusMessage(reply.reason)
             reply.headers.forEach { (name, value) -> response.headers().add(name, value) }
+            if (origin != null) response.headers().set(CallHeaders.RELAY, PeerRelay.ANSWERED)
             val rest = reply.rest
             if (rest == null) return end(Buffer.buffer(reply.body))
             response.setChunked(true)
@@ -254,6 +274,7 @@
             if (response.closed()) return
             response.setStatusCode(statusOf(code))
             response.putHeader(CallHeaders.RESULT_CODE, code.number.toString())
+            if (origin != null) response.putHeader(CallHeaders.RELAY, PeerRelay.NOT_ANSWERED)
             response.putHeader("Content-Type", "application/json")
             if (retryAfter != null && code.kind == ResultKind.NOT_RUN) {
                 response.putHeader("Retry-After", "%.3f".format(Locale.ROOT, retryAfter.toDouble(DurationUnit.SECONDS)))
@@ -274,7 +295,8 @@
 
     private fun isForwarded(name: String): Boolean {
         val lower = name.lowercase()
-        return lower == "host" || (lower !in CallHeaders.HOP_BY_HOP && lower != "content-length" && lower != "expect")
+        return lower == "host" ||
+            (lower !in CallHeaders.HOP_BY_HOP && lower != "content-length" && lower != "expect" && lower != CallHeaders.RELAY)
     }
 
     private companion object {
@@ -295,6 +317,12 @@
         /** The retry delay for callers that a leaving entry VM refuses: they may try another entry VM at once. */
         val LEAVING_RETRY_DELAY = 20.milliseconds
 
+        /** The most requests of other entry VMs that are served at a time, so that this one's own callers are served too. */
+        const val MAXIMUM_RELAYED_REQUESTS = 16
+
+        /** The retry delay for callers whose request found this entry VM busy with those of others: about the time of one request. */
+        val RELAY_RETRY_DELAY = 150.milliseconds
+
         /** The retry delay for callers whose body is too large, or for which there is no memory left. */
         val BODY_RETRY_DELAY = 0.3.seconds
 
--- a/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/GatewayMetrics.kt
+++ b/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/GatewayMetrics.kt
@@ -18,6 +18,8 @@
     private val probes = counter("goldcrestquay_probes_total", "Load probes by service.", "service")
     private val requestLimitChanges =
         counter("goldcrestquay_request_limit_changes_total", "Request limits named, changed or lifted by targets, by service.", "service")
+    private val relays =
+        counter("goldcrestquay_relays_total", "Requests relayed, by direction (sent or received) and outcome.", "direction", "outcome")
     private val fleetEvents = counter("goldcrestquay_belief_changes_total", "Changes of what the entry VM believes, by kind.", "kind")
     private val latency =
         Histogram
@@ -37,6 +39,8 @@
             is ForwardEvent.Refused -> probes.labelValues(event.target.service).inc(event.probes.toLong())
             is ForwardEvent.RequestLimitChanged -> requestLimitChanges.labelValues(event.target.service).inc()
             is ForwardEvent.AttemptEnded -> sendResults.labelValues(event.target.service, event.result).inc()
+            is ForwardEvent.Relayed -> relays.labelValues("sent", event.outcome).inc()
+            is ForwardEvent.RelayReceived -> relays.labelValues("received", "none").inc()
             is ForwardEvent.Ended -> {
                 val route = event.route ?: "none"
                 requests.labelValues(route, event.outcome, (event.code?.number ?: 0).toString()).inc()
--- a/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/GatewayNode.kt
+++ b/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/GatewayNode.kt
@@ -19,10 +19,13 @@
 import dev.goldcrestquay.routing.ForwardEvent
 import dev.goldcrestquay.routing.ForwarderTables
 import dev.goldcrestquay.routing.ProbeBudget
+import dev.goldcrestquay.routing.RelayPeers
 import dev.goldcrestquay.routing.RequestForwarder
 import dev.goldcrestquay.routing.RequestLimitShares
 import dev.goldcrestquay.routing.RetryLimits
 import dev.goldcrestquay.routing.SplitChooser
+import dev.goldcrestquay.routing.TargetReach
+import dev.goldcrestquay.routing.TargetReachMonitor
 import dev.goldcrestquay.routing.TargetSampler
 import dev.goldcrestquay.routing.TargetTable
 import io.vertx.core.Context
@@ -135,12 +138,25 @@
         FleetRetryBudget({ settings.retryLimits }, clock) { members.largestCount.takeIf { isSettled } }
     private val targetExchange = TargetExchange(pool, protocol)
     private val probeBudget = ProbeBudget({ settings.probesPerSecond }, clock) { members.largestCount.takeIf { isSettled } }
-    private val sampler = TargetSampler(clock, random, scope, probeBudget, targetExchange::probe, pool::release)
+    private val reach = TargetReach(clock)
+    private val probe = reach.observe(targetExchange::probe)
+    private val reachMonitor = TargetReachMonitor(reach, state, members, random, probe, pool::release, reports.fleet)
+    private val sampler = TargetSampler(clock, random, scope, probeBudget, probe, pool::release)
     private val refresher = RecordRefresher(state, storeReader, clock, scope, reports.fleet)
     private val forwarderTables =
-        ForwarderTables(state, targetTable, retryBudget, SplitChooser(random), evidence, crashes, refresher::refreshIfOld)
+        ForwarderTables(
+            state = state,
+            targets = targetTable,
+            budget = retryBudget,
+            splits = SplitChooser(random),
+            evidence = evidence,
+            crashes = crashes,
+            reach = reach,
+            relayPeers = RelayPeers(members, random),
+            refreshRecords = refresher::refreshIfOld,
+        )
     private val forwarder = RequestForwarder<OriginConnection, EdgeReply>(forwarderTables, sampler, clock, random, reports.request)
-    private val edgeServer = EdgeServer(vertx, state, protocol, targetExchange, forwarder, clock, scope)
+    private val edgeServer = EdgeServer(vertx, state, protocol, targetExchange, PeerRelay(pool), forwarder, clock, scope)
 
     /** Whether this entry VM has loaded the store's records and is not leaving, so that callers may be sent to it. */
     val isReady: Boolean get() = state.isLoaded && !edgeServer.isLeaving
@@ -157,9 +173,12 @@
         edgeServer.start(settings.self.callerAddress)
         listen(settings.readyAddress, ready)
         listen(settings.directoryAddress, directory)
-        listen(settings.self.peerAddress) { request -> peers.handle(request, replicator::answer) }
+        listen(settings.self.peerAddress) { request ->
+            if (!edgeServer.handleRelayed(request)) peers.handle(request, replicator::answer)
+        }
         reports.lifecycle("listening")
         scope.launch { sweepPool() }
+        scope.launch { reachMonitor.run() }
     }
 
     /**
--- /dev/null
+++ b/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/PeerRelay.kt
@@ -0,0 +1,76 @@
+package dev.goldcrestquay.http.edge
+
+import dev.goldcrestquay.contract.ResultCode
+import dev.goldcrestquay.contract.ResultKind
+import dev.goldcrestquay.http.CallHeaders
+import dev.goldcrestquay.machine.FleetMember
+import dev.goldcrestquay.routing.ForwardOutcome
+import dev.goldcrestquay.routing.ForwardRequest
+import dev.goldcrestquay.routing.RelayTerms
+import io.netty.handler.codec.http.HttpHeaders
+import java.io.IOException
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/** Relays requests to peers over their own addresses, as ordinary HTTP requests with the [RelayTerms] in a header. */
+internal class PeerRelay(
+    private val pool: OriginPool,
+) {
+    /** Has [peer] serve [request]; what the peer says of its own is told apart from a target's answer by [CallHeaders.RELAY]. */
+    suspend fun relay(
+        request: EdgeRequest,
+        peer: FleetMember,
+        terms: RelayTerms,
+    ): ForwardOutcome<EdgeReply> {
+        val connection =
+            try {
+                pool.take(peer.peerAddress)
+            } catch (_: IOException) {
+                return ForwardRequest.UNAVAILABLE_PEER
+            }
+        val outgoing = request.toHttp()
+        outgoing.headers().set(CallHeaders.RELAY, format(terms))
+        val reply =
+            try {
+                connection.send(outgoing) { it.headers().contains(CallHeaders.RELAY) }
+            } catch (_: OriginException) {
+                return ForwardOutcome.Unknown(ResultCode.CONNECTION_LOST)
+            }
+        return try {
+            val edgeReply = readEdgeReply(reply, connection, pool)
+            val headers = reply.head.headers()
+            if (headers.get(CallHeaders.RELAY) == ANSWERED) ForwardOutcome.Answered(edgeReply, null) else outcomeOf(headers)
+        } catch (_: OriginException) {
+            ForwardOutcome.Unknown(ResultCode.ANSWER_TRUNCATED)
+        }
+    }
+
+    private fun outcomeOf(headers: HttpHeaders): ForwardOutcome<Nothing> {
+        val code = headers.get(CallHeaders.RESULT_CODE)?.toIntOrNull()?.let { ResultCode.of(it) }
+        if (code?.kind != ResultKind.NOT_RUN) return ForwardOutcome.Unknown(code ?: ResultCode.FOREIGN_ANSWER)
+        val retryAfter = headers.get("Retry-After")?.toDoubleOrNull()?.seconds ?: Duration.ZERO
+        return ForwardOutcome.NotRun(code, retryAfter)
+    }
+
+    companion object {
+        /** The value of [CallHeaders.RELAY] in a response that is a target's answer. */
+        const val ANSWERED = "answered"
+
+        /** The value of [CallHeaders.RELAY] in a response that the peer made itself. */
+        const val NOT_ANSWERED = "not-answered"
+
+        private const val PARTS = 3
+
+        /** The value of [CallHeaders.RELAY] in a request. */
+        fun format(terms: RelayTerms): String = "${terms.from} ${terms.elapsed.inWholeMilliseconds} ${terms.attempts}"
+
+        /** Reads what [format] wrote; null for anything else. */
+        fun parse(value: String): RelayTerms? {
+            val parts = value.split(' ').takeIf { it.size == PARTS } ?: return null
+            val elapsed = parts[1].toLongOrNull()?.takeIf { it >= 0 } ?: return null
+            val attempts = parts[2].toIntOrNull()?.takeIf { it > 0 } ?: return null
+            return RelayTerms(parts[0], elapsed.milliseconds, attempts)
+        }
+    }
+}
--- a/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/TargetExchange.kt
+++ b/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/TargetExchange.kt
@@ -2,14 +2,12 @@
 
 import dev.goldcrestquay.contract.PlannedService
 import dev.goldcrestquay.contract.ResultCode
-import dev.goldcrestquay.http.CallHeaders
 import dev.goldcrestquay.link.Refusal
 import dev.goldcrestquay.link.SendResult
 import dev.goldcrestquay.machine.RegisteredTarget
 import dev.goldcrestquay.routing.Dispatch
 import dev.goldcrestquay.routing.LoadSample
 import dev.goldcrestquay.routing.ProbeResult
-import io.netty.buffer.Unpooled
 import io.netty.handler.codec.http.DefaultFullHttpRequest
 import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpMethod
@@ -19,7 +17,6 @@
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.withTimeoutOrNull
 import org.apache.logging.log4j.LogManager
-import java.io.ByteArrayOutputStream
 import java.io.IOException
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -48,29 +45,6 @@
     val readLoad: (header: (String) -> String?) -> LoadSample?,
 )
 
-/** A caller's request with its complete body; [headers] leave out those that concern one connection only. */
-class EdgeRequest(
-    val id: String,
-    val method: String,
-    val uri: String,
-    val headers: List<Pair<String, String>>,
-    val body: ByteArray,
-)
-
-/**
- * A target's response.
- *
- * @property body the complete body when [rest] is null, otherwise its beginning.
- * @property rest reads what follows [body].
- */
-class EdgeReply internal constructor(
-    val status: Int,
-    val reason: String,
-    val headers: List<Pair<String, String>>,
-    val body: ByteArray,
-    internal val rest: OriginReply?,
-)
-
 /** Probes targets for their load and sends them requests over pooled connections. */
 class TargetExchange internal constructor(
     private val pool: OriginPool,
@@ -189,14 +163,9 @@
         target: RegisteredTarget,
         remaining: Duration,
     ): DefaultFullHttpRequest {
-        val method = HttpMethod.valueOf(request.method)
-        val outgoingRequest = DefaultFullHttpRequest(HttpVersion.HTTP_1_1, method, request.uri, Unpooled.wrappedBuffer(request.body))
-        request.headers.forEach { (name, value) -> outgoingRequest.headers().add(name, value) }
+        val outgoingRequest = request.toHttp()
         outgoingRequest.headers().set(protocol.deadline, remaining.inWholeMilliseconds.coerceAtLeast(1))
         outgoingRequest.headers().set(protocol.expectedTarget, target.id)
-        if (request.body.isNotEmpty() || request.method in METHODS_WITH_BODY) {
-            outgoingRequest.headers().set(HttpHeaderNames.CONTENT_LENGTH, request.body.size)
-        }
         return outgoingRequest
     }
 
@@ -243,26 +212,12 @@
         connection: OriginConnection,
         isServerError: Boolean,
     ): SendResult<EdgeReply> {
-        val head = reply.head
-        val bytes = ByteArrayOutputStream()
-        var isComplete = false
-        while (!isComplete && bytes.size() < BUFFERED_BODY_BYTES) {
-            val chunk = reply.read()
-            if (chunk == null) isComplete = true else bytes.write(chunk)
-        }
-        if (isComplete) pool.release(connection)
-        val headers =
-            head
-                .headers()
-                .entries()
-                .map { it.key to it.value }
-                .filter { it.first.lowercase() !in UNFORWARDED_HEADERS }
-        val rest = if (isComplete) null else reply
+        val edgeReply = readEdgeReply(reply, connection, pool)
         return SendResult.Replied(
-            EdgeReply(head.status().code(), head.status().reasonPhrase(), headers, bytes.toByteArray(), rest),
+            edgeReply,
             isServerError,
-            bodyBytes = maxOf(bytes.size().toLong(), HttpUtil.getContentLength(head, 0L)),
-            requestLimit = requestLimit(head),
+            bodyBytes = maxOf(edgeReply.body.size.toLong(), HttpUtil.getContentLength(reply.head, 0L)),
+            requestLimit = requestLimit(reply.head),
         )
     }
 
@@ -298,16 +253,5 @@
 
         /** How long the body of a refusal may take: the retry at another target waits for it. */
         val REFUSAL_BODY_TIMEOUT = 50.milliseconds
-
-        /**
-         * Bodies up to this size are read completely before the caller gets any of them, so that a truncated one can still be
-         * reported or retried.
-         */
-        const val BUFFERED_BODY_BYTES = 262_144
-
-        val METHODS_WITH_BODY = setOf("POST", "PUT", "PATCH")
-
-        /** Headers that concern one connection only, and Content-Length, which the server sets itself. */
-        val UNFORWARDED_HEADERS = CallHeaders.HOP_BY_HOP + "content-length"
     }
 }
--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/machine/FleetExchange.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/machine/FleetExchange.kt
@@ -13,6 +13,7 @@
  * @property callerAddress where callers connect.
  * @property peerAddress where other entry VMs send exchange requests.
  * @property accepting whether new callers may be sent to this entry VM.
+ * @property reachesTargets whether this entry VM reaches targets, so that others may relay requests to it.
  */
 @Serializable
 public data class FleetMember(
@@ -22,6 +23,7 @@
     val callerAddress: SocketAddress,
     val peerAddress: SocketAddress,
     val accepting: Boolean,
+    val reachesTargets: Boolean = true,
 )
 
 /**
--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/machine/FleetMembers.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/machine/FleetMembers.kt
@@ -87,6 +87,11 @@
         if (self.accepting) changeSelf(self.copy(accepting = false))
     }
 
+    /** Tells the peers whether this entry VM [reachesTargets]. */
+    public fun reportReach(reachesTargets: Boolean) {
+        if (self.reachesTargets != reachesTargets) changeSelf(self.copy(reachesTargets = reachesTargets))
+    }
+
     private fun changeSelf(newSelf: FleetMember) {
         self = newSelf
         refresh()
--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/machine/StoreReader.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/machine/StoreReader.kt
@@ -308,6 +308,11 @@
         val late: Duration,
     ) : FleetEvent
 
+    /** This entry VM [reachesTargets] again, or no longer does and relays requests to peers. */
+    public data class ReachChanged(
+        val reachesTargets: Boolean,
+    ) : FleetEvent
+
     /** Records or the member list changed. */
     public data class FactsChanged(
         val sequence: Long,
--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/routing/ForwardOutcome.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/routing/ForwardOutcome.kt
@@ -2,15 +2,17 @@
 
 import dev.goldcrestquay.contract.ResultCode
 import dev.goldcrestquay.link.SendResult
+import dev.goldcrestquay.machine.FleetMember
 import dev.goldcrestquay.machine.RegisteredTarget
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
 
 /** The outcome of forwarding a request. */
 public sealed interface ForwardOutcome<out Reply> {
-    /** A target answered, possibly with a failure of its own. */
+    /** A target answered, possibly with a failure of its own; [target] is null when a peer sent it the request. */
     public data class Answered<Reply>(
         val reply: Reply,
-        val target: RegisteredTarget,
+        val target: RegisteredTarget?,
     ) : ForwardOutcome<Reply>
 
     /**
@@ -57,6 +59,8 @@
  * @property path the path without the query.
  * @property deadline how long the caller waits, counted from [arrivedAt]; null if the request states no deadline.
  * @property send sends the request; see [Dispatch].
+ * @property relay has a peer serve the request; the peer relays it to nobody.
+ * @property origin what the entry VM said that relays this request to this one, or null when it came from the caller.
  * @param computeFingerprint returns a hash of the method, host, path, query and body: the same for each attempt at the same request.
  */
 public class ForwardRequest<Connection, Reply>(
@@ -67,6 +71,8 @@
     public val arrivedAt: Duration,
     public val deadline: Duration?,
     public val send: suspend (Dispatch<Connection>) -> SendResult<Reply>,
+    public val relay: suspend (FleetMember, RelayTerms) -> ForwardOutcome<Reply> = { _, _ -> UNAVAILABLE_PEER },
+    public val origin: RelayTerms? = null,
     computeFingerprint: () -> Long,
 ) {
     /** Identifies what is asked for: the same when a caller asks again, also at another entry VM. */
@@ -78,6 +84,11 @@
     /** Whether forwarding may be cancelled when the caller leaves: not while a target may be running a non-idempotent request. */
     public var isCancellable: Boolean = true
         internal set
+
+    public companion object {
+        /** The outcome of a relay to a peer that could not be reached. */
+        public val UNAVAILABLE_PEER: ForwardOutcome.NotRun = ForwardOutcome.NotRun(ResultCode.NOT_READY, 60.milliseconds)
+    }
 }
 
 /** How many [crashes] in a row are known of the request with a [fingerprint]; see [CrashTable]. */
@@ -152,6 +163,22 @@
         val crashCount: CrashCount? = null,
     ) : ForwardEvent
 
+    /** The request came [from] another entry VM, which is cut off from the targets. */
+    public data class RelayReceived(
+        override val request: String,
+        val from: String,
+        val elapsed: Duration,
+        val attempts: Int,
+    ) : ForwardEvent
+
+    /** The request was relayed to [peer], since this entry VM is cut off from the targets; the outcome is `ANSWERED` or a result code's name. */
+    public data class Relayed(
+        override val request: String,
+        val peer: String,
+        val outcome: String,
+        val took: Duration,
+    ) : ForwardEvent
+
     /**
      * The request ended.
      *
--- /dev/null
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/routing/Relay.kt
@@ -0,0 +1,41 @@
+package dev.goldcrestquay.routing
+
+import dev.goldcrestquay.machine.FleetMember
+import dev.goldcrestquay.machine.FleetMembers
+import kotlin.random.Random
+import kotlin.time.Duration
+
+/**
+ * What an entry VM tells a peer with a request that the peer is to serve in its place.
+ *
+ * @property from the name of the entry VM that the caller connected to.
+ * @property elapsed the time since the request arrived there.
+ * @property attempts how many targets the peer may still send the request to.
+ */
+public data class RelayTerms(
+    val from: String,
+    val elapsed: Duration,
+    val attempts: Int,
+)
+
+/** Chooses the peers that a cut-off entry VM relays requests to. */
+public class RelayPeers(
+    private val members: FleetMembers,
+    private val random: Random,
+) {
+    /** The name of this entry VM. */
+    public val self: String get() = members.self.name
+
+    /**
+     * The peers that accept callers and reach targets, in the order in which they are to be asked.
+     *
+     * Those of the same data centre come first, unless most of it is cut off: the few that are left would get the requests of all.
+     */
+    public fun candidates(): List<FleetMember> {
+        val dataCentre = members.self.dataCentre
+        val usable = members.alive.filter { it.name != self && it.accepting && it.reachesTargets }.shuffled(random)
+        val (nearby, distant) = usable.partition { it.dataCentre == dataCentre }
+        val isMostlyReaching = nearby.size * 2 >= members.alive.count { it.dataCentre == dataCentre }
+        return if (isMostlyReaching) nearby + distant else usable
+    }
+}
--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/routing/RequestForwarder.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/routing/RequestForwarder.kt
@@ -6,6 +6,7 @@
 import dev.goldcrestquay.link.Clock
 import dev.goldcrestquay.link.Refusal
 import dev.goldcrestquay.link.SendResult
+import dev.goldcrestquay.machine.FleetMember
 import dev.goldcrestquay.machine.RegisteredTarget
 import dev.goldcrestquay.machine.SharedState
 import dev.goldcrestquay.move.VersionEvidence
@@ -17,6 +18,8 @@
 /**
  * The shared state that forwarding decisions are based on.
  *
+ * @property reach whether this entry VM reaches targets.
+ * @property relayPeers the peers that serve requests in place of this entry VM while it does not.
  * @property refreshRecords is called before a request is placed, and brings old records up to date if that can be done soon.
  */
 public class ForwarderTables(
@@ -26,6 +29,8 @@
     public val splits: SplitChooser,
     public val evidence: VersionEvidence,
     public val crashes: CrashTable,
+    public val reach: TargetReach,
+    public val relayPeers: RelayPeers,
     public val refreshRecords: suspend () -> Unit,
 )
 
@@ -54,7 +59,9 @@
         val routes = tables.state.routes ?: return reportOutcome(request, null, null, notRun(ResultCode.NOT_READY))
         val route = routes.find(request.host, request.path) ?: return reportOutcome(request, null, null, notRun(ResultCode.NO_ROUTE))
         val serviceName = tables.splits.choose(route) ?: return reportOutcome(request, route, null, notRun(ResultCode.NO_TARGET))
-        tables.budget.recordRequest(serviceName)
+        request.origin?.let { report(ForwardEvent.RelayReceived(request.id, it.from, it.elapsed, it.attempts)) }
+        // The entry VM that the request came from has counted it.
+        if (request.origin == null) tables.budget.recordRequest(serviceName)
         val service = routes.service(serviceName)
         val outcome = if (service == null) notRun(ResultCode.NO_TARGET) else ForwardingRun(request, route, service).run()
         return reportOutcome(request, route, serviceName, outcome)
@@ -94,6 +101,8 @@
         private val timeLimit = listOfNotNull(request.deadline, route.timeout).minOrNull() ?: DEFAULT_TIMEOUT
         private val tried = HashSet<String>()
 
+        private val maximumAttempts = (request.origin?.attempts ?: route.maximumAttempts).coerceAtLeast(1)
+
         /** The attempts that the retry budget was asked for; the first one is free. */
         private var paidAttempts = 1
 
@@ -115,7 +124,12 @@
         suspend fun run(): ForwardOutcome<Reply> {
             var last: ForwardOutcome<Reply> = notRun(ResultCode.NO_TARGET)
             var attempt = 1
-            while (attempt <= route.maximumAttempts.coerceAtLeast(1)) {
+            var unreachable = 0
+            while (attempt <= maximumAttempts) {
+                if (tables.reach.isCutOff) {
+                    val relayed = if (request.origin == null) relay(maximumAttempts - attempt + 1) else notRun(ResultCode.NO_TARGET)
+                    if (relayed != null) return combineOutcomes(last, relayed)
+                }
                 if (!request.isCallerWaiting) return ForwardOutcome.Unknown(ResultCode.CALL_CANCELLED)
                 if (remaining < MINIMUM_TIME_LEFT) return if (attempt == 1) notRun(ResultCode.DEADLINE_PASSED) else last
                 blockedFor()?.let { return combineOutcomes(last, ForwardOutcome.NotRun(ResultCode.BLOCKED, it)) }
@@ -131,11 +145,48 @@
                 val sendOutcome = attempt(attempt, chosen, expected)
                 last = combineOutcomes(last, sendOutcome.outcome)
                 if (!sendOutcome.mayRetry) return last
+                if (sendOutcome.isUnreachable) unreachable++
                 if (sendOutcome.reachedTarget) attempt++
             }
+            val neverSent = unreachable == attempt - 1 && request.origin == null && tables.reach.isDoubtful
+            return (if (neverSent) relay(maximumAttempts) else null) ?: last
+        }
+
+        /** Has a peer serve the request, with up to [attempts] targets; null when no peer reaches any. */
+        private suspend fun relay(attempts: Int): ForwardOutcome<Reply>? {
+            var last: ForwardOutcome<Reply>? = null
+            for (peer in tables.relayPeers.candidates().take(MAXIMUM_RELAYS)) {
+                if (!request.isCallerWaiting || remaining < MINIMUM_TIME_LEFT) return last
+                val outcome = relayTo(peer, attempts)
+                last = outcome
+                if (outcome !is ForwardOutcome.NotRun || outcome.code !in PEER_UNUSABLE) return outcome
+            }
             return last
         }
 
+        private suspend fun relayTo(
+            peer: FleetMember,
+            attempts: Int,
+        ): ForwardOutcome<Reply> {
+            val startedAt = clock()
+            val terms = RelayTerms(tables.relayPeers.self, startedAt - request.arrivedAt, attempts)
+            request.isCancellable = route.kind.idempotent
+            try {
+                val outcome =
+                    withTimeoutOrNull(remaining) { request.relay(peer, terms) } ?: ForwardOutcome.Unknown(ResultCode.DEADLINE_EXCEEDED)
+                val code =
+                    when (outcome) {
+                        is ForwardOutcome.Answered -> null
+                        is ForwardOutcome.NotRun -> outcome.code
+                        is ForwardOutcome.Unknown -> outcome.code
+                    }
+                report(ForwardEvent.Relayed(request.id, peer.name, code?.name ?: "ANSWERED", clock() - startedAt))
+                return outcome
+            } finally {
+                request.isCancellable = true
+            }
+        }
+
         private fun blockedFor(): Duration? = if (tables.crashes.isEmpty) null else tables.crashes.blockedFor(request.fingerprint)
 
         /** Combines the outcomes of two attempts: once a request may have run, its outcome is never [ForwardOutcome.NotRun]. */
@@ -184,11 +235,33 @@
             }
             val took = clock() - started
             report(ForwardEvent.AttemptEnded(request.id, target, resultName(result), took, recordCrash(result, crashesBefore)))
+            recordContact(target, result)
             recordResult(chosen, tickets, result, took)
             recordRequestLimit(chosen.candidate, result)
             return outcomeOf(target, result)
         }
 
+        private fun recordContact(
+            target: RegisteredTarget,
+            result: SendResult<Reply>,
+        ) {
+            when (result) {
+                is SendResult.Replied -> tables.reach.recordContact(target.id, isAnswered = true)
+                is SendResult.Refused ->
+                    if (result.refusal ==
+                        Refusal.CONNECTION_REFUSED
+                    ) {
+                        tables.reach.recordContact(target.id, isAnswered = false)
+                    }
+                is SendResult.Broken ->
+                    if (result.code ==
+                        ResultCode.CONNECTION_LOST
+                    ) {
+                        tables.reach.recordContact(target.id, isAnswered = false)
+                    }
+            }
+        }
+
         /** The target may have left while it was probed, or a connection opened to it. */
         private suspend fun mayStillGetRequests(target: RegisteredTarget): Boolean {
             tables.refreshRecords()
@@ -203,6 +276,8 @@
             val crashes = tables.crashes
             if (result is SendResult.Replied && !crashes.isEmpty) crashes.recordAnswer(request.fingerprint)
             if (result !is SendResult.Broken || result.code != ResultCode.CONNECTION_LOST) return null
+            // Most targets do not answer, so that the way to them is lost rather than this one ended.
+            if (tables.reach.isDoubtful) return null
             crashes.recordCrash(request.fingerprint, crashesBefore)
             return CrashCount(request.fingerprint, crashes.crashes(request.fingerprint))
         }
@@ -256,7 +331,12 @@
             when (result) {
                 is SendResult.Replied -> SendOutcome(ForwardOutcome.Answered(result.reply, target), result.failed && route.kind.idempotent)
                 is SendResult.Refused ->
-                    SendOutcome(notRun(ResultCode.TARGET_REFUSED), mayRetry = true, reachedTarget = result.refusal != Refusal.WITHDRAWN)
+                    SendOutcome(
+                        notRun(ResultCode.TARGET_REFUSED),
+                        mayRetry = true,
+                        reachedTarget = result.refusal != Refusal.WITHDRAWN,
+                        isUnreachable = result.refusal == Refusal.CONNECTION_REFUSED,
+                    )
                 is SendResult.Broken -> SendOutcome(ForwardOutcome.Unknown(result.code), route.kind.idempotent)
             }
 
@@ -314,6 +394,7 @@
         val outcome: ForwardOutcome<Reply>,
         val mayRetry: Boolean,
         val reachedTarget: Boolean = true,
+        val isUnreachable: Boolean = false,
     )
 
     private companion object {
@@ -348,6 +429,12 @@
         /** The share of the remaining objective that a target in the same data centre may take for a request with a large body. */
         const val LOCAL_OBJECTIVE_SHARE = 0.6
 
+        /** The peers that are asked to serve one request; the first nearly always can. */
+        const val MAXIMUM_RELAYS = 3
+
+        /** The refusals that say that a peer can serve no request now; the request has not run, and another peer may serve it. */
+        val PEER_UNUSABLE = setOf(ResultCode.NOT_READY, ResultCode.LEAVING, ResultCode.NO_TARGET)
+
         /** The shortest retry delay given to a refused caller: a fraction of the usual latency objectives. */
         val MINIMUM_RETRY_DELAY = 60.milliseconds
 
--- a/goldcrestquay/src/test/kotlin/dev/goldcrestquay/machine/OldRecordsTest.kt
+++ b/goldcrestquay/src/test/kotlin/dev/goldcrestquay/machine/OldRecordsTest.kt
@@ -12,10 +12,12 @@
 import dev.goldcrestquay.routing.LoadSample
 import dev.goldcrestquay.routing.ProbeBudget
 import dev.goldcrestquay.routing.ProbeResult
+import dev.goldcrestquay.routing.RelayPeers
 import dev.goldcrestquay.routing.RequestForwarder
 import dev.goldcrestquay.routing.RequestLimitShares
 import dev.goldcrestquay.routing.RetryLimits
 import dev.goldcrestquay.routing.SplitChooser
+import dev.goldcrestquay.routing.TargetReach
 import dev.goldcrestquay.routing.TargetSampler
 import dev.goldcrestquay.routing.TargetTable
 import dev.goldcrestquay.targetRecord
@@ -145,8 +147,19 @@
             }
             val sampler = TargetSampler(clock, random, scope.backgroundScope, ProbeBudget({ 60.0 }, clock) { 1 }, probe) { }
             val budget = FleetRetryBudget({ RetryLimits(0.2, 56.0, 10.seconds) }, clock) { 1 }
+            val peers = RelayPeers(node.members, random)
             val tables =
-                ForwarderTables(node.state, table, budget, SplitChooser(random), node.evidence, node.crashes, node.refresher::refreshIfOld)
+                ForwarderTables(
+                    node.state,
+                    table,
+                    budget,
+                    SplitChooser(random),
+                    node.evidence,
+                    node.crashes,
+                    TargetReach(clock),
+                    peers,
+                    node.refresher::refreshIfOld,
+                )
             return RequestForwarder(tables, sampler, clock, random) { }
         }
 
--- a/goldcrestquay/src/test/kotlin/dev/goldcrestquay/routing/CrashingRequestTest.kt
+++ b/goldcrestquay/src/test/kotlin/dev/goldcrestquay/routing/CrashingRequestTest.kt
@@ -117,8 +117,19 @@
                     if (targets.getValue(target.id).isRunning) ProbeResult(LoadSample(0, 0, 4, 1.0, true), target.id) else null
                 }) { }
             val budget = FleetRetryBudget({ RetryLimits(0.2, 56.0, 10.seconds) }, clock) { members().size }
+            val peers = RelayPeers(node.members, random)
             val tables =
-                ForwarderTables(node.state, table, budget, SplitChooser(random), node.evidence, node.crashes, node.refresher::refreshIfOld)
+                ForwarderTables(
+                    node.state,
+                    table,
+                    budget,
+                    SplitChooser(random),
+                    node.evidence,
+                    node.crashes,
+                    TargetReach(clock),
+                    peers,
+                    node.refresher::refreshIfOld,
+                )
             return RequestForwarder(tables, sampler, clock, random) { }
         }
     }
--- a/goldcrestquay/src/test/kotlin/dev/goldcrestquay/routing/CutOffEntryVmTest.kt
+++ b/goldcrestquay/src/test/kotlin/dev/goldcrestquay/routing/CutOffEntryVmTest.kt
@@ -14,7 +14,9 @@
 import io.kotest.assertions.withClue
 import io.kotest.matchers.collections.shouldBeEmpty
 import io.kotest.matchers.doubles.shouldBeGreaterThan
+import io.kotest.matchers.ints.shouldBeGreaterThan
 import io.kotest.matchers.ints.shouldBeLessThanOrEqual
+import io.kotest.matchers.shouldBe
 import kotlinx.coroutines.ExperimentalCoroutinesApi
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
@@ -62,8 +64,9 @@
 
         val attempts = mutableListOf<Attempt>()
 
-        /** How often each request ran, by its identifier. */
+        /** How often each request ran, by its identifier, and over how many entry VMs it went. */
         val runs = HashMap<String, Int>()
+        var relays = 0
 
         init {
             (1..targetCount).forEach { number ->
@@ -95,22 +98,27 @@
             val names = { node.members.alive.map { it.name } }
             val limiter = ColdTargetLimiter(self.name, clock, names)
             val table = TargetTable(node.state, self.dataCentre, clock, random, limiter, RequestLimitShares(self.name, names))
-            val probe: suspend (RegisteredTarget, Any) -> ProbeResult<String>? = { target, _ ->
-                delay(1)
-                when {
-                    reaches(self.name, target) || hasOpenConnection(target) ->
-                        ProbeResult(LoadSample(running[target.id] ?: 0, 0, 4, 1.0, true), target.id)
-                    else -> {
-                        if (cut == Cut.HANG) delay(CONNECT_TIMEOUT)
-                        null
+            val reach = TargetReach(clock)
+            val probe =
+                reach.observe { target: RegisteredTarget, _: Any ->
+                    delay(1)
+                    when {
+                        reaches(self.name, target) || hasOpenConnection(target) ->
+                            ProbeResult(LoadSample(running[target.id] ?: 0, 0, 4, 1.0, true), target.id)
+                        else -> {
+                            if (cut == Cut.HANG) delay(CONNECT_TIMEOUT)
+                            null
+                        }
                     }
                 }
-            }
+            val monitor = TargetReachMonitor(reach, node.state, node.members, random, probe, { }, { })
+            scope.backgroundScope.launch { monitor.run() }
             val sampler =
                 TargetSampler<String>(clock, random, scope.backgroundScope, ProbeBudget({ 60.0 }, clock) { names().size }, probe) { }
             val budget = FleetRetryBudget({ RetryLimits(0.2, 56.0, 10.seconds) }, clock) { names().size }
+            val peers = RelayPeers(node.members, random)
             val tables =
-                ForwarderTables(node.state, table, budget, SplitChooser(random), node.evidence, node.crashes) {
+                ForwarderTables(node.state, table, budget, SplitChooser(random), node.evidence, node.crashes, reach, peers) {
                     node.refresher.refreshIfOld()
                 }
             return RequestForwarder(tables, sampler, clock, random) { }
@@ -139,6 +147,7 @@
             name: String,
             id: String,
             kind: RequestKind,
+            origin: RelayTerms?,
             arrivedAt: Duration,
         ): ForwardRequest<String, String> =
             ForwardRequest(
@@ -149,6 +158,13 @@
                 arrivedAt = arrivedAt,
                 deadline = 1500.milliseconds,
                 send = { send(name, id, it) },
+                relay = { peer, terms ->
+                    relays++
+                    check(origin == null) { "relayed twice" }
+                    delay(1)
+                    forwarders.getValue(peer.name).forward(request(peer.name, id, kind, terms, clock() - terms.elapsed))
+                },
+                origin = origin,
             ) { id.hashCode().toLong() }
 
         /** Sends requests to all entry VMs for [duration], one every [interval] to each. */
@@ -164,7 +180,7 @@
                     scope.launch {
                         val at = clock() + interval * random.nextDouble()
                         delay(at - clock())
-                        attempts += Attempt(name, at, forwarders.getValue(name).forward(request(name, id, kind, at)))
+                        attempts += Attempt(name, at, forwarders.getValue(name).forward(request(name, id, kind, null, at)))
                         if (kind == RequestKind.UNSAFE) unsafe += id
                     }
                 }
@@ -218,6 +234,42 @@
             }
         }
 
+    @Test
+    fun `an entry VM sends requests itself again once it reaches the targets`() =
+        runTest {
+            val deployment = Deployment(this, Cut.HANG)
+            delay(5.seconds)
+            deployment.cutOff(setOf("vm-4", "vm-5"))
+            deployment.call(5.seconds, 200.milliseconds)
+            deployment.relays shouldBeGreaterThan 10
+            deployment.cutOff(emptySet())
+            delay(2.seconds)
+            val before = deployment.relays
+            deployment.call(3.seconds, 200.milliseconds)
+            deployment.relays shouldBe before
+            deployment.stop()
+        }
+
+    /** The way to the targets is the same for all: that no target answers anybody says that the targets are down. */
+    @Test
+    fun `while no entry VM reaches a target nobody relays`() =
+        runTest {
+            for (cut in Cut.entries) {
+                val deployment = Deployment(this, cut)
+                delay(5.seconds)
+                deployment.cutOff(
+                    deployment.fleet.running
+                        .map { it.members.self.name }
+                        .toSet(),
+                )
+                deployment.call(12.seconds, 200.milliseconds)
+                val before = deployment.relays
+                deployment.call(3.seconds, 200.milliseconds)
+                withClue(cut) { deployment.relays shouldBe before }
+                deployment.stop()
+            }
+        }
+
     private companion object {
         /** The time after the beginning of a cut from which on callers are to be served. */
         val CONTACT = 3.seconds
--- a/goldcrestquay/src/test/kotlin/dev/goldcrestquay/routing/RequestForwarderTest.kt
+++ b/goldcrestquay/src/test/kotlin/dev/goldcrestquay/routing/RequestForwarderTest.kt
@@ -3,9 +3,11 @@
 import dev.goldcrestquay.contract.RequestKind
 import dev.goldcrestquay.contract.ResultCode
 import dev.goldcrestquay.contract.RoutePlan
+import dev.goldcrestquay.fleetMember
 import dev.goldcrestquay.link.Refusal
 import dev.goldcrestquay.link.SendResult
 import dev.goldcrestquay.machine.Feed
+import dev.goldcrestquay.machine.FleetMembers
 import dev.goldcrestquay.machine.PlanRecord
 import dev.goldcrestquay.machine.RegisteredTarget
 import dev.goldcrestquay.machine.SharedState
@@ -64,7 +66,10 @@
         val probes = ProbeBudget({ probesPerSecond }, clock) { 1 }
         val sampler = TargetSampler(clock, random, backgroundScope, probes, probe) { released += it }
         val budget = FleetRetryBudget({ RetryLimits(0.2, 56.0, 10.seconds) }, clock) { 1 }
-        val tables = ForwarderTables(state, table, budget, SplitChooser(random), VersionEvidence(clock), CrashTable(clock)) { }
+        val peers = RelayPeers(FleetMembers(fleetMember(1), clock), random)
+        val evidence = VersionEvidence(clock)
+        val tables =
+            ForwarderTables(state, table, budget, SplitChooser(random), evidence, CrashTable(clock), TargetReach(clock), peers) { }
         return RequestForwarder(tables, sampler, clock, random) { }
     }
 
