--- a/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/GatewayNode.kt
+++ b/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/GatewayNode.kt
@@ -6,6 +6,7 @@
 import dev.goldcrestquay.machine.FleetMember
 import dev.goldcrestquay.machine.FleetMembers
 import dev.goldcrestquay.machine.FleetReplicator
+import dev.goldcrestquay.machine.RecordRefresher
 import dev.goldcrestquay.machine.ReplicatorParts
 import dev.goldcrestquay.machine.SharedState
 import dev.goldcrestquay.machine.SocketAddress
@@ -18,10 +19,13 @@
 import dev.goldcrestquay.routing.ForwardEvent
 import dev.goldcrestquay.routing.ForwarderTables
 import dev.goldcrestquay.routing.ProbeBudget
+import dev.goldcrestquay.routing.RelayPeers
 import dev.goldcrestquay.routing.RequestForwarder
 import dev.goldcrestquay.routing.RequestLimitShares
 import dev.goldcrestquay.routing.RetryLimits
 import dev.goldcrestquay.routing.SplitChooser
+import dev.goldcrestquay.routing.TargetReach
+import dev.goldcrestquay.routing.TargetReachMonitor
 import dev.goldcrestquay.routing.TargetSampler
 import dev.goldcrestquay.routing.TargetTable
 import io.vertx.core.Context
@@ -134,10 +138,25 @@
         FleetRetryBudget({ settings.retryLimits }, clock) { members.largestCount.takeIf { isSettled } }
     private val targetExchange = TargetExchange(pool, protocol)
     private val probeBudget = ProbeBudget({ settings.probesPerSecond }, clock) { members.largestCount.takeIf { isSettled } }
-    private val sampler = TargetSampler(clock, random, scope, probeBudget, targetExchange::probe, pool::release)
-    private val forwarderTables = ForwarderTables(state, targetTable, retryBudget, SplitChooser(random), evidence, crashes)
+    private val reach = TargetReach(clock)
+    private val probe = reach.observe(targetExchange::probe)
+    private val reachMonitor = TargetReachMonitor(reach, state, members, random, probe, pool::release, reports.fleet)
+    private val sampler = TargetSampler(clock, random, scope, probeBudget, probe, pool::release)
+    private val refresher = RecordRefresher(state, storeReader, clock, scope, reports.fleet)
+    private val forwarderTables =
+        ForwarderTables(
+            state = state,
+            targets = targetTable,
+            budget = retryBudget,
+            splits = SplitChooser(random),
+            evidence = evidence,
+            crashes = crashes,
+            reach = reach,
+            relayPeers = RelayPeers(members, random),
+            refreshRecords = refresher::refreshIfOld,
+        )
     private val forwarder = RequestForwarder<OriginConnection, EdgeReply>(forwarderTables, sampler, clock, random, reports.request)
-    private val edgeServer = EdgeServer(vertx, state, protocol, targetExchange, forwarder, clock, scope)
+    private val edgeServer = EdgeServer(vertx, state, protocol, targetExchange, PeerRelay(pool), forwarder, clock, scope)
 
     /** Whether this entry VM has loaded the store's records and is not leaving, so that callers may be sent to it. */
     val isReady: Boolean get() = state.isLoaded && !edgeServer.isLeaving
@@ -154,9 +173,12 @@
         edgeServer.start(settings.self.callerAddress)
         listen(settings.readyAddress, ready)
         listen(settings.directoryAddress, directory)
-        listen(settings.self.peerAddress) { request -> peers.handle(request, replicator::answer) }
+        listen(settings.self.peerAddress) { request ->
+            if (!edgeServer.handleRelayed(request)) peers.handle(request, replicator::answer)
+        }
         reports.lifecycle("listening")
         scope.launch { sweepPool() }
+        scope.launch { reachMonitor.run() }
     }
 
     /**
@@ -220,7 +242,10 @@
     private suspend fun sweepPool() {
         while (true) {
             pool.sweep()
+            val dueAt = clock() + SWEEP_INTERVAL
             delay(SWEEP_INTERVAL)
+            val late = clock() - dueAt
+            if (late > REPORTED_STALL) reports.fleet(FleetEvent.EventLoopStalled(late))
         }
     }
 
@@ -257,5 +282,8 @@
         private val DRAIN_CHECK_INTERVAL = 50.milliseconds
 
         private val SWEEP_INTERVAL = 500.milliseconds
+
+        /** A timer that is late by more than this is logged; small machines are late by some milliseconds all the time. */
+        private val REPORTED_STALL = 100.milliseconds
     }
 }
--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/machine/FleetMembers.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/machine/FleetMembers.kt
@@ -87,6 +87,11 @@
         if (self.accepting) changeSelf(self.copy(accepting = false))
     }
 
+    /** Tells the peers whether this entry VM [reachesTargets]. */
+    public fun reportReach(reachesTargets: Boolean) {
+        if (self.reachesTargets != reachesTargets) changeSelf(self.copy(reachesTargets = reachesTargets))
+    }
+
     private fun changeSelf(newSelf: FleetMember) {
         self = newSelf
         refresh()
@@ -198,7 +203,11 @@
 
     /** The peer addresses of all members and [seeds], this entry VM's included, in an order that is the same on every entry VM. */
     public fun candidates(seeds: List<SocketAddress>): List<SocketAddress> =
-        (alive.map { it.peerAddress } + seeds).distinct().sortedBy { stableHash(it.toString()) }
+        (alive.map { it.peerAddress } + seeds)
+            .distinct()
+            .map { it to stableHash(it.toString()) }
+            .sortedBy { it.second }
+            .map { it.first }
 
     private fun observedChanged() {
         observedVersion++
--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/machine/FleetReplicator.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/machine/FleetReplicator.kt
@@ -64,6 +64,7 @@
     private val rolloutDecisions = Mutex()
     private val ownCrashes = Channel<Unit>(Channel.CONFLATED)
     private var confirmations = 0L
+    private var signalledConfirmation = -Duration.INFINITE
     private var leaderCheckedAt = Duration.ZERO
     private var failedPolls = 0
     private val seedTimeout = if (isFirstStart) FIRST_START_SEED_TIMEOUT else SEED_TIMEOUT
@@ -147,19 +148,21 @@
             val hold = request.holdMilliseconds.milliseconds.coerceAtMost(HOLD)
             withTimeoutOrNull(hold) { changeSignal.await() }
         }
+        val beyond = if (known == null) state.changesBeyond(request.epoch, request.completeThrough) else null
         return ExchangeReply(
             position = position(),
             heldMilliseconds = (clock() - receivedAt).inWholeMilliseconds,
             ageMilliseconds = state.age().takeIf { it.isFinite() }?.inWholeMilliseconds,
             leader = leader,
             storeUnavailable = peers.isStoreUnavailable(selfAddress),
-            records = state.changesAfter(known?.sequence ?: 0),
+            records = beyond ?: state.changesAfter(known?.sequence ?: 0),
             members = if (known?.membersVersion == members.version) null else members.changesAfter(known?.membersVersion),
             knowsObserved = members.hasReportFrom(request.sender.peerAddress),
             rollouts = state.rollouts().values.toList(),
             completeThrough = state.completeThrough(),
             epoch = state.epoch,
             crashes = parts.crashes.changesAfter(known?.crashesVersion ?: 0, request.sender.peerAddress),
+            isWhole = beyond == null,
         )
     }
 
@@ -213,9 +216,9 @@
 
     /** One step as the leader: reads the store, decides rollouts and releases held replies. */
     private suspend fun lead() {
-        val polled = parts.storeReader.poll(POLL_WAIT)
+        val polled = parts.storeReader.poll(POLL_WAIT, ::signalConfirmation)
         decideRollouts()
-        signal(confirmed = polled)
+        signalConfirmation()
         if (polled) {
             failedPolls = 0
         } else {
@@ -226,6 +229,14 @@
         checkForOtherLeader()
     }
 
+    /** Releases held replies when the leader's records have become younger, or have changed. */
+    private fun signalConfirmation() {
+        val confirmedAt = state.confirmedAt ?: return signal()
+        val isYounger = confirmedAt - signalledConfirmation > CONFIRMATION_STEP
+        if (isYounger) signalledConfirmation = confirmedAt
+        signal(confirmed = isYounger)
+    }
+
     private suspend fun stepDown() {
         failedPolls = 0
         peers.markStoreUnavailable(selfAddress, storeRetryPause())
@@ -382,10 +393,20 @@
         val known = progress?.position?.let { if (members.listSource == peer) it else it.copy(membersVersion = null) }
         val crashesVersion = parts.crashes.version
         val crashes = parts.crashes.changesAfter(progress?.crashesVersion ?: 0, peer)
-        val request = ExchangeRequest(members.self, known, hold.inWholeMilliseconds, observed, reportedCounts, isLeader, crashes)
+        val request =
+            ExchangeRequest(
+                sender = members.self,
+                known = known,
+                holdMilliseconds = hold.inWholeMilliseconds,
+                observed = observed,
+                evidence = reportedCounts,
+                isLeader = isLeader,
+                crashes = crashes,
+                completeThrough = if (known == null) state.completeThrough() else emptyMap(),
+                epoch = state.epoch,
+            )
         val reply = withTimeoutOrNull(hold + REPLY_MARGIN) { parts.exchange(peer, request) }
         if (reply == null) {
-            peers.clearProgress(peer)
             report(FleetEvent.PeerSilent(peer.toString()))
             return null
         }
@@ -412,7 +433,7 @@
 
     /** Removes what the peer would hold if it had not been removed; [reply] has all records of the peer. */
     private fun removeMissing(reply: ExchangeReply) {
-        if (reply.epoch < state.epoch) return
+        if (!reply.isWhole || reply.epoch < state.epoch) return
         reply.completeThrough.forEach { (feed, end) ->
             val present = reply.records.filter { it.feed == feed }.mapTo(HashSet()) { it.key }
             state.removals(feed, present, end).forEach { state.apply(it) }
@@ -527,6 +548,9 @@
         /** The longest pause between a starting entry VM's attempts to load while the store is unavailable. */
         val MAXIMUM_START_PAUSE = 400.milliseconds
 
+        /** Records that have become younger by less than this are not worth a reply to each peer. */
+        val CONFIRMATION_STEP = 100.milliseconds
+
         /** How often a leader looks for another leader. */
         val LEADER_CHECK_INTERVAL = 1.seconds
 
--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/machine/StoreReader.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/machine/StoreReader.kt
@@ -32,16 +32,46 @@
     /**
      * Reads the targets' new records, then the operators', for which the store is to wait up to [wait]; returns whether both were read.
      *
-     * The first read shows how slow the store is. The wait is shortened by twice the time it took, so that records do not get older
-     * when the store is slow.
+     * Calls [onTargetsRead] in between, since the second read may take the whole wait. The first read shows how slow the store is. The
+     * wait is shortened by twice the time it took, so that records do not get older when the store is slow.
      */
-    public suspend fun poll(wait: Duration): Boolean {
+    public suspend fun poll(
+        wait: Duration,
+        onTargetsRead: () -> Unit,
+    ): Boolean {
+        if (lastReadTook > SLOW_READ) return pollBoth(wait, onTargetsRead)
         val startedAt = clock()
         if (!readNew(Feed.TARGETS, Duration.ZERO, readTimeout())) return false
         val took = clock() - startedAt
         lastReadTook = took
-        val operatorWait = (wait - took * 2).coerceAtLeast(Duration.ZERO)
-        return readNew(Feed.OPERATOR, operatorWait, operatorWait + LONG_POLL_MARGIN + took * 2)
+        onTargetsRead()
+        return readOperators(wait - took * 2, took)
+    }
+
+    /** Reads both feeds of a slow store at once, since two reads one after the other would let the records get too old. */
+    private suspend fun pollBoth(
+        wait: Duration,
+        onTargetsRead: () -> Unit,
+    ): Boolean =
+        coroutineScope {
+            val startedAt = clock()
+            val operators = async { readOperators(wait - lastReadTook, lastReadTook) }
+            val areTargetsRead = readNew(Feed.TARGETS, Duration.ZERO, readTimeout())
+            if (!areTargetsRead) {
+                operators.cancel()
+                return@coroutineScope false
+            }
+            lastReadTook = clock() - startedAt
+            onTargetsRead()
+            operators.await()
+        }
+
+    private suspend fun readOperators(
+        wait: Duration,
+        usualTime: Duration,
+    ): Boolean {
+        val operatorWait = wait.coerceAtLeast(Duration.ZERO)
+        return readNew(Feed.OPERATOR, operatorWait, operatorWait + LONG_POLL_MARGIN + usualTime * 2)
     }
 
     /**
@@ -59,6 +89,10 @@
                 .all { it }
         }
 
+    /** Reads what the store has beyond the records held, whoever read those; returns whether targets and orders were read. */
+    public suspend fun catchUp(): Boolean =
+        readNew(Feed.TARGETS, Duration.ZERO, CATCH_UP_TIMEOUT) && readNew(Feed.OPERATOR, Duration.ZERO, CATCH_UP_TIMEOUT)
+
     /** Reads the verdicts written since the last read; returns whether the store answered. */
     public suspend fun readVerdicts(): Boolean = readNew(Feed.VERDICTS, Duration.ZERO, READ_TIMEOUT)
 
@@ -67,19 +101,21 @@
         wait: Duration,
         timeout: Duration,
     ): Boolean {
-        val position = positions[feed] ?: return load(feed)
+        val position = positionOf(feed) ?: return load(feed)
         val askedAt = clock()
+        val askedEpoch = epoch ?: state.epoch
         val result = withTimeoutOrNull(timeout) { store.read(feed, position, wait) } ?: StoreResult.Unavailable("no answer")
         return when (result) {
             is StoreResult.Done -> {
                 if (isOutdated(result.value)) return recordFailure(feed, OUTDATED)
                 recordSuccess()
                 // The position belongs to a history that the store has lost: what it gave out again before the position is unknown.
-                if (enterEpoch(result.value.epoch)) return load()
+                if (enterEpoch(result.value.epoch) || result.value.epoch != askedEpoch) return load()
                 apply(result.value)
                 state.markComplete(feed, result.value.end)
-                positions[feed] = result.value.end
-                confirmFeed(feed, if (result.value.records.isEmpty()) clock() - REPLY_LATENCY else askedAt)
+                positions.merge(feed, result.value.end, ::maxOf)
+                // The store answers without records only after the wait; when that answer is handled says nothing about its age.
+                confirmFeed(feed, if (result.value.end == position) minOf(askedAt + wait, clock()) else askedAt)
                 true
             }
             is StoreResult.Forgotten -> load(feed)
@@ -87,6 +123,12 @@
         }
     }
 
+    /** The offset to read [feed] from, which peers may have told; null when it must be loaded. */
+    private fun positionOf(feed: Feed): Long? {
+        val told = if (epoch == null || epoch == state.epoch) state.completeThrough()[feed] else null
+        return listOfNotNull(positions[feed], told).maxOrNull()
+    }
+
     private suspend fun load(feed: Feed): Boolean {
         val askedAt = clock()
         val result = withTimeoutOrNull(LOAD_TIMEOUT) { store.newest(feed) } ?: StoreResult.Unavailable("no answer")
@@ -116,14 +158,13 @@
     /**
      * Records that the store answered. After an outage, targets that were removed may register again and are kept for a short while.
      *
-     * Failed calls of this entry VM alone are no outage: targets reach the store without it, and those that were removed have left.
+     * Neither failed calls of this entry VM alone nor old records alone are an outage: targets reach the store without it, and an entry VM
+     * that stalled has made no call. Those that were removed then have left.
      */
     private fun recordSuccess() {
-        val since = failingSince
-        if (since != null) {
-            failingSince = null
-            report(FleetEvent.StoreReturned(clock() - since))
-        }
+        val since = failingSince ?: return
+        failingSince = null
+        report(FleetEvent.StoreReturned(clock() - since))
         if (state.confirmedAt != null && state.age() > OUTAGE_AGE) state.awaitRewrites()
     }
 
@@ -169,6 +210,9 @@
          */
         val LONG_POLL_MARGIN = 400.milliseconds
 
+        /** A store whose reads take longer is slow: many times the usual few milliseconds. */
+        val SLOW_READ = 100.milliseconds
+
         /** A slow store answers within this; the read from one that does not answer ends early enough for another entry VM to lead. */
         val READ_TIMEOUT = 900.milliseconds
 
@@ -188,8 +232,8 @@
          */
         val OUTAGE_AGE = 3000.milliseconds
 
-        /** An empty reply was correct when the store sent it: at most this long ago, unless the store is slow. */
-        val REPLY_LATENCY = 20.milliseconds
+        /** Many times a usual answer, and a small part of the time that a request has. */
+        val CATCH_UP_TIMEOUT = 150.milliseconds
     }
 }
 
@@ -242,6 +286,13 @@
         val factsAge: Duration,
     ) : FleetEvent
 
+    /** This entry VM read the store itself, or tried to, since its records had the age [factsAge] when a request was to be placed. */
+    public data class OldRecordsRefreshed(
+        val factsAge: Duration,
+        val succeeded: Boolean,
+        val took: Duration,
+    ) : FleetEvent
+
     /** A peer did not answer. */
     public data class PeerSilent(
         val peer: String,
@@ -252,6 +303,16 @@
         val reason: String,
     ) : FleetEvent
 
+    /** The event loop ran a timer [late]: this entry VM had no processor time, or one task took long. */
+    public data class EventLoopStalled(
+        val late: Duration,
+    ) : FleetEvent
+
+    /** This entry VM [reachesTargets] again, or no longer does and relays requests to peers. */
+    public data class ReachChanged(
+        val reachesTargets: Boolean,
+    ) : FleetEvent
+
     /** Records or the member list changed. */
     public data class FactsChanged(
         val sequence: Long,
--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/routing/RequestForwarder.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/routing/RequestForwarder.kt
@@ -6,6 +6,7 @@
 import dev.goldcrestquay.link.Clock
 import dev.goldcrestquay.link.Refusal
 import dev.goldcrestquay.link.SendResult
+import dev.goldcrestquay.machine.FleetMember
 import dev.goldcrestquay.machine.RegisteredTarget
 import dev.goldcrestquay.machine.SharedState
 import dev.goldcrestquay.move.VersionEvidence
@@ -14,7 +15,13 @@
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
-/** The shared state that forwarding decisions are based on. */
+/**
+ * The shared state that forwarding decisions are based on.
+ *
+ * @property reach whether this entry VM reaches targets.
+ * @property relayPeers the peers that serve requests in place of this entry VM while it does not.
+ * @property refreshRecords is called before a request is placed, and brings old records up to date if that can be done soon.
+ */
 public class ForwarderTables(
     public val state: SharedState,
     public val targets: TargetTable,
@@ -22,6 +29,9 @@
     public val splits: SplitChooser,
     public val evidence: VersionEvidence,
     public val crashes: CrashTable,
+    public val reach: TargetReach,
+    public val relayPeers: RelayPeers,
+    public val refreshRecords: suspend () -> Unit,
 )
 
 /**
@@ -45,10 +55,13 @@
     /** Forwards [request] and returns its outcome; waits for the first load of the shared state if necessary. */
     public suspend fun forward(request: ForwardRequest<Connection, Reply>): ForwardOutcome<Reply> {
         if (!tables.state.isLoaded) withTimeoutOrNull(INITIAL_STATE_TIMEOUT) { tables.state.awaitLoad() }
+        tables.refreshRecords()
         val routes = tables.state.routes ?: return reportOutcome(request, null, null, notRun(ResultCode.NOT_READY))
         val route = routes.find(request.host, request.path) ?: return reportOutcome(request, null, null, notRun(ResultCode.NO_ROUTE))
         val serviceName = tables.splits.choose(route) ?: return reportOutcome(request, route, null, notRun(ResultCode.NO_TARGET))
-        tables.budget.recordRequest(serviceName)
+        request.origin?.let { report(ForwardEvent.RelayReceived(request.id, it.from, it.elapsed, it.attempts)) }
+        // The entry VM that the request came from has counted it.
+        if (request.origin == null) tables.budget.recordRequest(serviceName)
         val service = routes.service(serviceName)
         val outcome = if (service == null) notRun(ResultCode.NO_TARGET) else ForwardingRun(request, route, service).run()
         return reportOutcome(request, route, serviceName, outcome)
@@ -88,6 +101,11 @@
         private val timeLimit = listOfNotNull(request.deadline, route.timeout).minOrNull() ?: DEFAULT_TIMEOUT
         private val tried = HashSet<String>()
 
+        private val maximumAttempts = (request.origin?.attempts ?: route.maximumAttempts).coerceAtLeast(1)
+
+        /** The attempts that the retry budget was asked for; the first one is free. */
+        private var paidAttempts = 1
+
         private val callerAge = callerAges.estimate(route.name, request.deadline)
 
         private val remaining: Duration get() = timeLimit - (clock() - request.arrivedAt)
@@ -105,13 +123,20 @@
 
         suspend fun run(): ForwardOutcome<Reply> {
             var last: ForwardOutcome<Reply> = notRun(ResultCode.NO_TARGET)
-            for (attempt in 1..route.maximumAttempts.coerceAtLeast(1)) {
+            var attempt = 1
+            var unreachable = 0
+            while (attempt <= maximumAttempts) {
+                if (tables.reach.isCutOff) {
+                    val relayed = if (request.origin == null) relay(maximumAttempts - attempt + 1) else notRun(ResultCode.NO_TARGET)
+                    if (relayed != null) return combineOutcomes(last, relayed)
+                }
                 if (!request.isCallerWaiting) return ForwardOutcome.Unknown(ResultCode.CALL_CANCELLED)
                 if (remaining < MINIMUM_TIME_LEFT) return if (attempt == 1) notRun(ResultCode.DEADLINE_PASSED) else last
                 blockedFor()?.let { return combineOutcomes(last, ForwardOutcome.NotRun(ResultCode.BLOCKED, it)) }
                 val candidates = tables.targets.candidates(service.name, tried)
                 if (candidates.isEmpty()) return last
-                if (attempt > 1 && !tables.budget.tryTake(service.name)) return last
+                if (attempt > paidAttempts && !tables.budget.tryTake(service.name)) return last
+                paidAttempts = attempt
                 val chosen = sampler.choose(candidates, service, transferBytes, acceptableFactor(), tables.state.age() > OLD_RECORDS_AGE)
                 val expected = serviceTime(route.name) * chosen.expectedFactor
                 val view = AdmissionView(expected, chosen.excess, objectiveLeft, remaining, route.priority)
@@ -120,10 +145,48 @@
                 val sendOutcome = attempt(attempt, chosen, expected)
                 last = combineOutcomes(last, sendOutcome.outcome)
                 if (!sendOutcome.mayRetry) return last
+                if (sendOutcome.isUnreachable) unreachable++
+                if (sendOutcome.reachedTarget) attempt++
+            }
+            val neverSent = unreachable == attempt - 1 && request.origin == null && tables.reach.isDoubtful
+            return (if (neverSent) relay(maximumAttempts) else null) ?: last
+        }
+
+        /** Has a peer serve the request, with up to [attempts] targets; null when no peer reaches any. */
+        private suspend fun relay(attempts: Int): ForwardOutcome<Reply>? {
+            var last: ForwardOutcome<Reply>? = null
+            for (peer in tables.relayPeers.candidates().take(MAXIMUM_RELAYS)) {
+                if (!request.isCallerWaiting || remaining < MINIMUM_TIME_LEFT) return last
+                val outcome = relayTo(peer, attempts)
+                last = outcome
+                if (outcome !is ForwardOutcome.NotRun || outcome.code !in PEER_UNUSABLE) return outcome
             }
             return last
         }
 
+        private suspend fun relayTo(
+            peer: FleetMember,
+            attempts: Int,
+        ): ForwardOutcome<Reply> {
+            val startedAt = clock()
+            val terms = RelayTerms(tables.relayPeers.self, startedAt - request.arrivedAt, attempts)
+            request.isCancellable = route.kind.idempotent
+            try {
+                val outcome =
+                    withTimeoutOrNull(remaining) { request.relay(peer, terms) } ?: ForwardOutcome.Unknown(ResultCode.DEADLINE_EXCEEDED)
+                val code =
+                    when (outcome) {
+                        is ForwardOutcome.Answered -> null
+                        is ForwardOutcome.NotRun -> outcome.code
+                        is ForwardOutcome.Unknown -> outcome.code
+                    }
+                report(ForwardEvent.Relayed(request.id, peer.name, code?.name ?: "ANSWERED", clock() - startedAt))
+                return outcome
+            } finally {
+                request.isCancellable = true
+            }
+        }
+
         private fun blockedFor(): Duration? = if (tables.crashes.isEmpty) null else tables.crashes.blockedFor(request.fingerprint)
 
         /** Combines the outcomes of two attempts: once a request may have run, its outcome is never [ForwardOutcome.NotRun]. */
@@ -160,7 +223,8 @@
             var result: SendResult<Reply>? = null
             request.isCancellable = route.kind.idempotent
             try {
-                result = withTimeoutOrNull(left) { request.send(target, chosen.connection, left) }
+                val dispatch = Dispatch(target, chosen.connection, left) { mayStillGetRequests(target) }
+                result = withTimeoutOrNull(left) { request.send(dispatch) }
                     ?: SendResult.Broken(ResultCode.DEADLINE_EXCEEDED)
             } finally {
                 request.isCancellable = true
@@ -171,11 +235,39 @@
             }
             val took = clock() - started
             report(ForwardEvent.AttemptEnded(request.id, target, resultName(result), took, recordCrash(result, crashesBefore)))
+            recordContact(target, result)
             recordResult(chosen, tickets, result, took)
             recordRequestLimit(chosen.candidate, result)
             return outcomeOf(target, result)
         }
 
+        private fun recordContact(
+            target: RegisteredTarget,
+            result: SendResult<Reply>,
+        ) {
+            when (result) {
+                is SendResult.Replied -> tables.reach.recordContact(target.id, isAnswered = true)
+                is SendResult.Refused ->
+                    if (result.refusal ==
+                        Refusal.CONNECTION_REFUSED
+                    ) {
+                        tables.reach.recordContact(target.id, isAnswered = false)
+                    }
+                is SendResult.Broken ->
+                    if (result.code ==
+                        ResultCode.CONNECTION_LOST
+                    ) {
+                        tables.reach.recordContact(target.id, isAnswered = false)
+                    }
+            }
+        }
+
+        /** The target may have left while it was probed, or a connection opened to it. */
+        private suspend fun mayStillGetRequests(target: RegisteredTarget): Boolean {
+            tables.refreshRecords()
+            return tables.targets.mayGetRequests(target)
+        }
+
         /** Records that a lost connection may mean that the target ended, or that it answered; returns the count in the first case. */
         private fun recordCrash(
             result: SendResult<Reply>,
@@ -184,6 +276,8 @@
             val crashes = tables.crashes
             if (result is SendResult.Replied && !crashes.isEmpty) crashes.recordAnswer(request.fingerprint)
             if (result !is SendResult.Broken || result.code != ResultCode.CONNECTION_LOST) return null
+            // Most targets do not answer, so that the way to them is lost rather than this one ended.
+            if (tables.reach.isDoubtful) return null
             crashes.recordCrash(request.fingerprint, crashesBefore)
             return CrashCount(request.fingerprint, crashes.crashes(request.fingerprint))
         }
@@ -203,8 +297,9 @@
                     tables.evidence.recordAnswer(tickets.evidence, result.failed)
                 }
                 is SendResult.Refused -> {
-                    health.recordShed(tickets.health)
                     tables.evidence.recordInconclusive(tickets.evidence)
+                    if (result.refusal == Refusal.WITHDRAWN) return health.recordInconclusive(tickets.health)
+                    health.recordShed(tickets.health)
                     if (result.refusal != Refusal.SHEDDING) health.recordUnreachable()
                 }
                 is SendResult.Broken -> {
@@ -235,7 +330,13 @@
         ): SendOutcome<Reply> =
             when (result) {
                 is SendResult.Replied -> SendOutcome(ForwardOutcome.Answered(result.reply, target), result.failed && route.kind.idempotent)
-                is SendResult.Refused -> SendOutcome(notRun(ResultCode.TARGET_REFUSED), true)
+                is SendResult.Refused ->
+                    SendOutcome(
+                        notRun(ResultCode.TARGET_REFUSED),
+                        mayRetry = true,
+                        reachedTarget = result.refusal != Refusal.WITHDRAWN,
+                        isUnreachable = result.refusal == Refusal.CONNECTION_REFUSED,
+                    )
                 is SendResult.Broken -> SendOutcome(ForwardOutcome.Unknown(result.code), route.kind.idempotent)
             }
 
@@ -292,6 +393,8 @@
     private class SendOutcome<Reply>(
         val outcome: ForwardOutcome<Reply>,
         val mayRetry: Boolean,
+        val reachedTarget: Boolean = true,
+        val isUnreachable: Boolean = false,
     )
 
     private companion object {
@@ -326,6 +429,12 @@
         /** The share of the remaining objective that a target in the same data centre may take for a request with a large body. */
         const val LOCAL_OBJECTIVE_SHARE = 0.6
 
+        /** The peers that are asked to serve one request; the first nearly always can. */
+        const val MAXIMUM_RELAYS = 3
+
+        /** The refusals that say that a peer can serve no request now; the request has not run, and another peer may serve it. */
+        val PEER_UNUSABLE = setOf(ResultCode.NOT_READY, ResultCode.LEAVING, ResultCode.NO_TARGET)
+
         /** The shortest retry delay given to a refused caller: a fraction of the usual latency objectives. */
         val MINIMUM_RETRY_DELAY = 60.milliseconds
 
--- a/goldcrestquay/src/test/kotlin/dev/goldcrestquay/routing/RequestForwarderTest.kt
+++ b/goldcrestquay/src/test/kotlin/dev/goldcrestquay/routing/RequestForwarderTest.kt
@@ -3,9 +3,11 @@
 import dev.goldcrestquay.contract.RequestKind
 import dev.goldcrestquay.contract.ResultCode
 import dev.goldcrestquay.contract.RoutePlan
+import dev.goldcrestquay.fleetMember
 import dev.goldcrestquay.link.Refusal
 import dev.goldcrestquay.link.SendResult
 import dev.goldcrestquay.machine.Feed
+import dev.goldcrestquay.machine.FleetMembers
 import dev.goldcrestquay.machine.PlanRecord
 import dev.goldcrestquay.machine.RegisteredTarget
 import dev.goldcrestquay.machine.SharedState
@@ -64,7 +66,10 @@
         val probes = ProbeBudget({ probesPerSecond }, clock) { 1 }
         val sampler = TargetSampler(clock, random, backgroundScope, probes, probe) { released += it }
         val budget = FleetRetryBudget({ RetryLimits(0.2, 56.0, 10.seconds) }, clock) { 1 }
-        val tables = ForwarderTables(state, table, budget, SplitChooser(random), VersionEvidence(clock), CrashTable(clock))
+        val peers = RelayPeers(FleetMembers(fleetMember(1), clock), random)
+        val evidence = VersionEvidence(clock)
+        val tables =
+            ForwarderTables(state, table, budget, SplitChooser(random), evidence, CrashTable(clock), TargetReach(clock), peers) { }
         return RequestForwarder(tables, sampler, clock, random) { }
     }
 
@@ -73,9 +78,9 @@
         deadline: Duration? = 3.seconds,
         send: suspend (RegisteredTarget) -> SendResult<String>,
     ): ForwardRequest<String, String> =
-        ForwardRequest("r1", "shop.example", "/${kind.name.lowercase()}/x", 0, currentTime.milliseconds, deadline, { target, _, _ ->
-            sentTo += target.id
-            send(target)
+        ForwardRequest("r1", "shop.example", "/${kind.name.lowercase()}/x", 0, currentTime.milliseconds, deadline, { dispatch ->
+            sentTo += dispatch.target.id
+            send(dispatch.target)
         }) { 1 }
 
     private val threeTargets = listOf("a", "b", "c").map { registeredTarget(it) }
@@ -104,6 +109,20 @@
             sentTo shouldBe listOf("leaving", "slowed")
         }
 
+    @Test
+    fun `a request whose target leaves before it is sent goes to another one, without a retry`() =
+        runTest {
+            val forwarder = forwarder(threeTargets, plan = routePlan(routes = listOf(plannedRoute(RequestKind.UNSAFE, attempts = 1))))
+            val outcome =
+                forwarder.forward(
+                    request(RequestKind.UNSAFE) {
+                        if (sentTo.size < 3) SendResult.Refused(Refusal.WITHDRAWN) else SendResult.Replied("done")
+                    },
+                )
+            outcome.shouldBeInstanceOf<ForwardOutcome.Answered<String>>()
+            sentTo.toSet() shouldHaveSize 3
+        }
+
     @Test
     fun `a target gets requests again once it names no limit`() =
         runTest {
@@ -306,7 +325,7 @@
                     0,
                     Duration.ZERO,
                     null,
-                    { _, _, _ -> SendResult.Broken() },
+                    { _ -> SendResult.Broken() },
                 ) { 1 }
             forwarder.forward(unroutable).shouldBeInstanceOf<ForwardOutcome.NotRun>().code shouldBe ResultCode.NO_ROUTE
         }
