Don't reuse a connection after a refusal that names no request

A faulty target may write an earlier refusal once more on a kept connection. A refusal that names its request is told apart by that; one that names none was taken for the refusal of the next request, which ran: its caller was told 503, not run, and an entry VM may send it to a second target.

The connection of such a refusal is closed. Test: 3 of 5 cases failed before (503, 421 and 429 without a name), with one run each beside a 503; all pass now.

--- a/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/TargetExchange.kt
+++ b/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/TargetExchange.kt
@@ -194,14 +194,18 @@
         }
     }
 
-    /** Frees the connection of a refusal; its head tells all, so a body that is long, slow or truncated only costs the connection. */
+    /**
+     * Frees the connection of a refusal; its head tells all, so a body that is long, slow or truncated only costs the connection.
+     *
+     * A refusal that names no request can't be told from a late copy of itself, so nothing else is sent over its connection.
+     */
     private suspend fun discardBody(
         reply: OriginReply,
         connection: OriginConnection,
     ) {
         try {
             withTimeoutOrNull(REFUSAL_BODY_TIMEOUT) { reply.readToEnd(MAXIMUM_SMALL_BODY_BYTES) } ?: return connection.close()
-            pool.release(connection)
+            if (reply.head.headers().contains(protocol.requestId)) pool.release(connection) else connection.close()
         } catch (_: OriginException) {
             connection.close()
         }
