Show by a test that a target which leaves while it is connected to gets no request

OldRecordsTest did not notice when the second look at the records was taken out: a stalled entry VM's requests in flight reach their timeout first. The new test has a target leave while the connection to it is opened; without the second look it fails. OldRecordsTest also stalls a follower for 1.35 s.

--- a/goldcrestquay/src/test/kotlin/dev/goldcrestquay/machine/OldRecordsTest.kt
+++ b/goldcrestquay/src/test/kotlin/dev/goldcrestquay/machine/OldRecordsTest.kt
@@ -61,6 +61,9 @@
             Trouble("a follower that stalls again and again") { fleet, _ ->
                 fleet.follower().also { launch { repeat(6) { _ -> stall(it, 600.milliseconds).also { delay(60) } } } }
             },
+            Trouble("a follower that stalls for less than a request may take") { fleet, _ ->
+                fleet.follower().also { pause(it, SHORT_STALL, after = 1.seconds) }
+            },
             Trouble("the leader that stalls") { fleet, _ -> fleet.leaders.single().also { pause(it, STALL) } },
             Trouble("a follower of a leader that stalls") { fleet, _ ->
                 pause(fleet.leaders.single(), STALL)
@@ -105,8 +108,9 @@
     private fun TestScope.pause(
         node: FakeFleet.Node,
         duration: Duration,
+        after: Duration = BEFORE_STALL,
     ) = backgroundScope.launch {
-        delay(BEFORE_STALL)
+        delay(after)
         stall(node, duration)
     }
 
@@ -269,6 +273,8 @@
         /** Longer than the outage of the store after which targets register again. */
         val STALL = 3400.milliseconds
 
+        val SHORT_STALL = 1350.milliseconds
+
         /** The time that opening a connection to a busy target takes. */
         val CONNECT_TIME = 300.milliseconds
     }
--- a/goldcrestquay/src/test/kotlin/dev/goldcrestquay/routing/RequestForwarderTest.kt
+++ b/goldcrestquay/src/test/kotlin/dev/goldcrestquay/routing/RequestForwarderTest.kt
@@ -11,6 +11,7 @@
 import dev.goldcrestquay.machine.PlanRecord
 import dev.goldcrestquay.machine.RegisteredTarget
 import dev.goldcrestquay.machine.SharedState
+import dev.goldcrestquay.machine.TargetPhase
 import dev.goldcrestquay.move.VersionEvidence
 import dev.goldcrestquay.plannedRoute
 import dev.goldcrestquay.registeredTarget
@@ -42,6 +43,7 @@
     private val released = mutableListOf<String>()
     private val probed = mutableListOf<String>()
     private val unreachable = mutableSetOf<String>()
+    private lateinit var state: SharedState
 
     private fun TestScope.forwarder(
         targets: List<RegisteredTarget>,
@@ -49,7 +51,7 @@
         plan: RoutePlan = routePlan(),
     ): RequestForwarder<String, String> {
         val clock = { currentTime.milliseconds }
-        val state = SharedState(clock)
+        state = SharedState(clock)
         state.apply(PlanRecord("config", 1, plan))
         state.markComplete(Feed.VERDICTS, 0)
         state.confirm(clock())
@@ -109,6 +111,25 @@
             sentTo shouldBe listOf("leaving", "slowed")
         }
 
+    @Test
+    fun `no request is sent to a target that leaves while the connection to it is opened`() =
+        runTest {
+            val forwarder = forwarder(threeTargets)
+            val request =
+                ForwardRequest<String, String>("r1", "shop.example", "/unsafe/x", 0, currentTime.milliseconds, 3.seconds, { dispatch ->
+                    if (sentTo.isEmpty()) {
+                        val left = dispatch.target.copy(phase = TargetPhase.DRAINING, heartbeat = 2)
+                        state.apply(targetRecord(left, 10))
+                    }
+                    sentTo += dispatch.target.id
+                    delay(300)
+                    if (dispatch.confirm()) SendResult.Replied(dispatch.target.id) else SendResult.Refused(Refusal.WITHDRAWN)
+                }) { 1 }
+            val answer = forwarder.forward(request).shouldBeInstanceOf<ForwardOutcome.Answered<String>>()
+            sentTo shouldHaveSize 2
+            answer.reply shouldBe sentTo.last()
+        }
+
     @Test
     fun `a request whose target leaves before it is sent goes to another one, without a retry`() =
         runTest {
