Let a stopping entry VM finish the requests that others relay to it

Found by reading: a stop waited for the connections of callers only, so a request that a cut-off entry VM had relayed could be cut off with the process. Relayed requests are counted with those connections. The stop itself is not tested for relayed requests.

--- a/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/EdgeServer.kt
+++ b/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/EdgeServer.kt
@@ -63,8 +63,8 @@
     /** The number of callers' connections with a request that has no response yet. */
     val busyConnectionCount: Int get() = pendingRequests.size
 
-    /** The number of open connections of callers. */
-    val openConnectionCount: Int get() = quietSince.size
+    /** The number of open connections of callers, and of requests that other entry VMs relay. */
+    val openConnectionCount: Int get() = quietSince.size + relayedRequests
 
     /** Listens for callers at [address]. */
     suspend fun start(address: SocketAddress) {
--- a/goldcrestquay-platform-standins/src/test/kotlin/dev/goldcrestquay/standins/platform/RepeatedRefusalTest.kt
+++ b/goldcrestquay-platform-standins/src/test/kotlin/dev/goldcrestquay/standins/platform/RepeatedRefusalTest.kt
@@ -47,7 +47,12 @@
                 socket.write("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
                 return
             }
-            val id = received.lines().first { it.startsWith(ID_HEADER, ignoreCase = true) }.substringAfter(": ").trim()
+            val id =
+                received
+                    .lines()
+                    .first { it.startsWith(ID_HEADER, ignoreCase = true) }
+                    .substringAfter(": ")
+                    .trim()
             val earlier = refusals[socket]
             if (earlier == null) {
                 val name = if (namesRequest) "$ID_HEADER: $id\r\n" else ""
