Survive unexpected errors in the refresh of records and the watch of reach

Found by reading: an error in a probe would have ended the watch, after which an entry VM that was cut off would not have noticed that it reaches targets again; an error in a read of the store would have let each request read it anew. Probes end alone; a refresh counts as failed until it has succeeded.

--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/machine/RecordRefresher.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/machine/RecordRefresher.kt
@@ -40,9 +40,14 @@
     private suspend fun refresh() {
         val age = state.age()
         val startedAt = clock()
+        // Counts as failed until it has succeeded, so that an unexpected error is not repeated for each request either.
+        retryAt = startedAt + RETRY_PAUSE * (1 shl failures.coerceAtMost(MAXIMUM_DOUBLINGS))
+        failures++
         val succeeded = storeReader.catchUp()
-        failures = if (succeeded) 0 else failures + 1
-        if (!succeeded) retryAt = clock() + RETRY_PAUSE * (1 shl (failures - 1).coerceAtMost(MAXIMUM_DOUBLINGS))
+        if (succeeded) {
+            failures = 0
+            retryAt = Duration.ZERO
+        }
         report(FleetEvent.OldRecordsRefreshed(age, succeeded, clock() - startedAt))
     }
 
--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/routing/TargetReachMonitor.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/routing/TargetReachMonitor.kt
@@ -5,9 +5,9 @@
 import dev.goldcrestquay.machine.FleetMembers
 import dev.goldcrestquay.machine.RegisteredTarget
 import dev.goldcrestquay.machine.SharedState
-import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
+import kotlinx.coroutines.supervisorScope
 import kotlin.random.Random
 import kotlin.time.Duration.Companion.milliseconds
 
@@ -21,9 +21,9 @@
     private val release: (Connection) -> Unit,
     private val report: (FleetEvent) -> Unit,
 ) {
-    /** Watches until cancelled. */
+    /** Watches until cancelled; an unexpected error of a probe ends that probe alone. */
     public suspend fun run(): Unit =
-        coroutineScope {
+        supervisorScope {
             while (true) {
                 delay(INTERVAL)
                 if (members.self.reachesTargets == reach.isCutOff) {
--- a/goldcrestquay/src/test/kotlin/dev/goldcrestquay/machine/OldRecordsTest.kt
+++ b/goldcrestquay/src/test/kotlin/dev/goldcrestquay/machine/OldRecordsTest.kt
@@ -180,8 +180,10 @@
             }
         }
 
+        private val path = "/${RequestKind.SAFE.name.lowercase()}/x"
+
         private fun request(arrivedAt: Duration) =
-            ForwardRequest<String, String>("r", "shop.example", "/${RequestKind.SAFE.name.lowercase()}/x", 0, arrivedAt, 10.seconds, { dispatch ->
+            ForwardRequest<String, String>("r", "shop.example", path, 0, arrivedAt, 10.seconds, { dispatch ->
                 val planVersion = checkNotNull(node.state.routes).plan.version
                 delay(CONNECT_TIME)
                 if (dispatch.confirm()) {
