Show that resets at targets that live on block a request

Found by reading, now shown: ten calls of one request whose connections are reset at targets that live on, and the next call is refused with code 2016 for five minutes by all entry VMs, though no target has ended. Every lost connection counts as the end of a target unless most targets do not answer. Not fixed here: what tells an ended target from a lost connection is its health check, its registration and the other requests on it.

Two expressions in the tests that the formatter had broken up are written anew.

--- a/goldcrestquay/src/test/kotlin/dev/goldcrestquay/machine/OldRecordsTest.kt
+++ b/goldcrestquay/src/test/kotlin/dev/goldcrestquay/machine/OldRecordsTest.kt
@@ -90,19 +90,11 @@
                 fleet.start(6)
             },
             Trouble("a member of a tree whose source stalls", members = 40, dataCentres = 4) { fleet, _ ->
-                val leader =
-                    fleet.leaders
-                        .single()
-                        .members.self
-                val sources = fleet.running.filter { it.requests > 40 && it.members.self != leader }
+                val leader = fleet.leaders.single()
+                val sources = fleet.running.filter { it.requests > 40 && it !== leader }
+                val firstSource = sources.first().members.self
                 sources.forEach { pause(it, STALL) }
-                fleet.running.first {
-                    it !in sources &&
-                        it.members.self.dataCentre ==
-                        sources
-                            .first()
-                            .members.self.dataCentre
-                }
+                fleet.running.first { it !in sources && it.members.self.dataCentre == firstSource.dataCentre }
             },
         )
 
--- a/goldcrestquay/src/test/kotlin/dev/goldcrestquay/routing/CrashingRequestTest.kt
+++ b/goldcrestquay/src/test/kotlin/dev/goldcrestquay/routing/CrashingRequestTest.kt
@@ -88,19 +88,17 @@
             path: String,
             kind: RequestKind = RequestKind.SAFE,
             isCrashing: Boolean = false,
+            isReset: Boolean = false,
         ): ForwardOutcome<String> {
             val now = { scope.currentTime.milliseconds }
             val fullPath = "/${kind.name.lowercase()}/$path"
             val request =
                 ForwardRequest<String, String>("r", "shop.example", fullPath, 0, now(), 1500.milliseconds, { dispatch ->
                     if (isCrashing) sends += now()
-                    targets.getValue(dispatch.target.id).run(isCrashing).also {
-                        if (isCrashing &&
-                            it is SendResult.Broken
-                        ) {
-                            crashes += now()
-                        }
-                    }
+                    if (isReset) return@ForwardRequest SendResult.Broken()
+                    val result = targets.getValue(dispatch.target.id).run(isCrashing)
+                    if (isCrashing && result is SendResult.Broken) crashes += now()
+                    result
                 }) { requestFingerprint("GET", "shop.example", fullPath, ByteArray(0)) }
             return forwarders.getValue(node).forward(request)
         }
@@ -160,6 +158,22 @@
             }
         }
 
+    @Test
+    fun `a request whose connections are reset at targets that live on is not blocked`() =
+        runTest {
+            val deployment = Deployment(this)
+            delay(4.seconds)
+            repeat(10) {
+                deployment.call(deployment.entryVm(), "reset", RequestKind.SAFE, isReset = true)
+                delay(300)
+            }
+            val outcome = deployment.call(deployment.entryVm(), "reset", RequestKind.SAFE)
+            outcome.shouldBeInstanceOf<ForwardOutcome.Answered<String>>()
+            deployment.fleet.running
+                .toList()
+                .forEach { deployment.fleet.kill(it) }
+        }
+
     @Test
     fun `a request that ended three targets is known to entry VMs that start later and while the leader changes`() =
         runTest {
