Don't vouch for removals that a load of the store skipped

Cause, found on reading the change: a peer that fell behind and then loaded the newest records does not know which targets were removed in between, if it never held them. It answered another entry VM, which holds such a target, with only what lies beyond its offsets, so that the target would stay in use there.

A load now begins the history that a process vouches for anew, and processes adopt the gaps of those whose records they take. An entry VM that takes over reads on from the records that it holds, so that a change of leader leaves no gap. The new test covers loads and adopted gaps; it uses the new functions, so it was not run on the code before. The tests of replication, departures, restores and relays pass. The decision in recordContact is written more plainly; it is the same.

--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/machine/FleetExchange.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/machine/FleetExchange.kt
@@ -84,6 +84,7 @@
  * @property epoch the latest epoch of the store that the peer knows; see [LogPosition].
  * @property crashes what the peer has learned about requests that end targets.
  * @property isWhole whether [records] are all records of the peer if the sender had replicated none; otherwise only later ones.
+ * @property completeFrom by feed, the offset from which on the peer has missed no removal of the [epoch]; null from an earlier release.
  */
 @Serializable
 public data class ExchangeReply(
@@ -103,6 +104,7 @@
     val epoch: Long = 0,
     val crashes: List<CrashSuspicion> = emptyList(),
     val isWhole: Boolean = true,
+    val completeFrom: Map<Feed, Long>? = null,
 )
 
 /**
--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/machine/FleetReplicator.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/machine/FleetReplicator.kt
@@ -163,6 +163,7 @@
             epoch = state.epoch,
             crashes = parts.crashes.changesAfter(known?.crashesVersion ?: 0, request.sender.peerAddress),
             isWhole = beyond == null,
+            completeFrom = state.completeFrom(),
         )
     }
 
@@ -349,9 +350,9 @@
         }
     }
 
-    /** Loads the records from the store; when that succeeds, leads and notifies the first few candidates. */
+    /** Reads on from the records held; when that succeeds, leads and notifies the first few candidates. */
     private suspend fun takeOver() {
-        if (!parts.storeReader.load()) {
+        if (!parts.storeReader.resume()) {
             peers.markStoreUnavailable(selfAddress, storeRetryPause())
             signal()
             return
@@ -447,6 +448,7 @@
         confirmed: Boolean,
     ) {
         reply.records.forEach { state.apply(it) }
+        if (reply.epoch == state.epoch) state.adoptGaps(reply.completeFrom ?: reply.completeThrough)
         if (reply.epoch == state.epoch) reply.completeThrough.forEach { (feed, end) -> state.markComplete(feed, end) }
         reply.ageMilliseconds?.let { state.confirm(askedAt + reply.heldMilliseconds.milliseconds - it.milliseconds) }
         parts.crashes.merge(reply.crashes, peer)
--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/machine/SharedState.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/machine/SharedState.kt
@@ -114,6 +114,23 @@
         completeFrom.putIfAbsent(feed, end)
     }
 
+    /** Notes that the newest records of [feed] before the offset [end] were loaded; those that were removed before are not known. */
+    public fun markLoaded(
+        feed: Feed,
+        end: Long,
+    ) {
+        markComplete(feed, end)
+        completeFrom.merge(feed, end, ::maxOf)
+    }
+
+    /** By feed, the offset from which on no change, and no removal, of the present [epoch] has been missed. */
+    public fun completeFrom(): Map<Feed, Long> = completeFrom.toMap()
+
+    /** Notes that records were taken from a peer with the given [completeFrom], which may have missed removals before that. */
+    public fun adoptGaps(completeFrom: Map<Feed, Long>) {
+        completeFrom.forEach { (feed, from) -> this.completeFrom.merge(feed, from, ::maxOf) }
+    }
+
     /** Notes that the store has been seen in [newEpoch]; what is held of an earlier epoch may have to be written again. */
     public fun enterEpoch(newEpoch: Long) {
         if (newEpoch <= epoch) return
--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/machine/StoreReader.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/machine/StoreReader.kt
@@ -89,6 +89,15 @@
                 .all { it }
         }
 
+    /** Reads what every feed has beyond the records held, or its newest records if it is not known how far they go. */
+    public suspend fun resume(): Boolean =
+        coroutineScope {
+            Feed.entries
+                .map { async { readNew(it, Duration.ZERO, LOAD_TIMEOUT) } }
+                .awaitAll()
+                .all { it }
+        }
+
     /** Reads what the store has beyond the records held, whoever read those; returns whether targets and orders were read. */
     public suspend fun catchUp(): Boolean =
         readNew(Feed.TARGETS, Duration.ZERO, CATCH_UP_TIMEOUT) && readNew(Feed.OPERATOR, Duration.ZERO, CATCH_UP_TIMEOUT)
@@ -139,7 +148,7 @@
         val ignored = result.value.records.count { state.holdsLaterThan(it.at(LogPosition(result.value.epoch, it.offset))) }
         apply(result.value)
         state.removals(feed, result.value.records.mapTo(HashSet()) { it.key }, result.value.end).forEach { apply(it) }
-        state.markComplete(feed, result.value.end)
+        state.markLoaded(feed, result.value.end)
         positions[feed] = result.value.end
         confirmFeed(feed, askedAt)
         report(FleetEvent.Loaded(feed, result.value.records.size, result.value.end, ignored))
--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/routing/RequestForwarder.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/routing/RequestForwarder.kt
@@ -245,21 +245,13 @@
             target: RegisteredTarget,
             result: SendResult<Reply>,
         ) {
-            when (result) {
-                is SendResult.Replied -> tables.reach.recordContact(target.id, isAnswered = true)
-                is SendResult.Refused ->
-                    if (result.refusal ==
-                        Refusal.CONNECTION_REFUSED
-                    ) {
-                        tables.reach.recordContact(target.id, isAnswered = false)
-                    }
-                is SendResult.Broken ->
-                    if (result.code ==
-                        ResultCode.CONNECTION_LOST
-                    ) {
-                        tables.reach.recordContact(target.id, isAnswered = false)
-                    }
-            }
+            val isUnanswered =
+                when (result) {
+                    is SendResult.Replied -> false
+                    is SendResult.Refused -> if (result.refusal == Refusal.CONNECTION_REFUSED) true else return
+                    is SendResult.Broken -> if (result.code == ResultCode.CONNECTION_LOST) true else return
+                }
+            tables.reach.recordContact(target.id, !isUnanswered)
         }
 
         /** The target may have left while it was probed, or a connection opened to it. */
--- a/goldcrestquay/src/test/kotlin/dev/goldcrestquay/machine/SharedStateTest.kt
+++ b/goldcrestquay/src/test/kotlin/dev/goldcrestquay/machine/SharedStateTest.kt
@@ -12,6 +12,7 @@
 import io.kotest.matchers.collections.shouldContainExactly
 import io.kotest.matchers.shouldBe
 import org.junit.jupiter.api.Test
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 
 class SharedStateTest {
@@ -112,4 +113,18 @@
         state.apply(RolloutRecord("rollout/shop", 5, "shop", RolloutOrder("shop", "v3", 12.seconds)))
         state.rollouts().getValue("shop").phase shouldBe RolloutPhase.TRIAL
     }
+
+    @Test
+    fun `a peer that has loaded the store past a gap does not vouch for the removals in it`() {
+        val state = SharedState { Duration.ZERO }
+        Feed.entries.forEach { state.markComplete(it, 3) }
+        state.markLoaded(Feed.TARGETS, 10)
+        val known = Feed.entries.associateWith { 6L }
+        state.changesBeyond(0, known) shouldBe null
+        state.changesBeyond(0, known + (Feed.TARGETS to 10L)) shouldBe emptyList()
+        val follower = SharedState { Duration.ZERO }
+        Feed.entries.forEach { follower.markComplete(it, 4) }
+        follower.adoptGaps(state.completeFrom())
+        follower.changesBeyond(0, known) shouldBe null
+    }
 }
