--- a/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/EdgeServer.kt
+++ b/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/EdgeServer.kt
@@ -93,7 +93,7 @@
         quietSince.filter { (connection, at) -> at <= since && connection !in pendingRequests }.keys.forEach { it.close() }
     }
 
-    /** Serves a request that another entry VM relays, on the [origin] that it names; false when those are unreadable. */
+    /** Serves [request] if another entry VM relays it; returns false when it does not carry terms that can be read. */
     fun handleRelayed(request: HttpServerRequest): Boolean {
         val origin = PeerRelay.parse(request.getHeader(CallHeaders.RELAY).orEmpty()) ?: return false
         handle(request, origin)
