Close connections on which bytes follow a complete response

Cause: the codec was replaced after each response so that its undecoded bytes would reach OriginConnection and close the connection; Netty hands them to the new codec instead, which keeps the beginning of a head. The guard of idle connections sees only bytes that arrive later.

Change: the connection keeps one decoder, which tells how many bytes it has not decoded; a connection is given back for use only when there are none. This one place serves requests, health checks, relays and calls to the store. The method of the pending request decides whether a response has a body, as the codec did.

--- a/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/OriginConnection.kt
+++ b/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/OriginConnection.kt
@@ -7,11 +7,14 @@
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInboundHandlerAdapter
 import io.netty.handler.codec.http.FullHttpRequest
-import io.netty.handler.codec.http.HttpClientCodec
 import io.netty.handler.codec.http.HttpContent
 import io.netty.handler.codec.http.HttpDecoderConfig
+import io.netty.handler.codec.http.HttpMessage
+import io.netty.handler.codec.http.HttpMethod
 import io.netty.handler.codec.http.HttpObject
+import io.netty.handler.codec.http.HttpRequestEncoder
 import io.netty.handler.codec.http.HttpResponse
+import io.netty.handler.codec.http.HttpResponseDecoder
 import io.netty.handler.codec.http.HttpStatusClass
 import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.LastHttpContent
@@ -29,13 +32,14 @@
 /**
  * An HTTP/1.1 client connection that carries one request at a time; confined to its event loop.
  *
- * A response that does not belong to the pending request, such as a second response to an earlier one, is skipped. Bytes that arrive
- * while no request is pending close the connection, since the beginning of a late response would change the next one.
+ * A response that does not belong to the pending request, such as a second response to an earlier one, is skipped. Bytes that follow a
+ * complete response before the next request close the connection, since the beginning of a late response would change the next one.
  */
 internal class OriginConnection(
     val address: SocketAddress,
     private val channel: Channel,
 ) : ChannelInboundHandlerAdapter() {
+    private val decoder = ResponseDecoder()
     private var currentReply: OriginReply? = null
     private var isSkipping = false
     private var skippedHeads = 0
@@ -61,6 +65,7 @@
         check(isUsable) { "the connection to $address is busy or closed" }
         val reply = OriginReply(this, accepts)
         currentReply = reply
+        decoder.isHeadRequest = request.method() == HttpMethod.HEAD
         skippedHeads = 0
         skippedBytes = 0
         reply.writeFuture = channel.writeAndFlush(request)
@@ -87,7 +92,7 @@
 
     /** Adds the handlers of this connection to its channel. */
     fun addHandlers() {
-        channel.pipeline().addLast(IdleGuard(), newCodec(), this)
+        channel.pipeline().addLast(IdleGuard(), decoder, HttpRequestEncoder(), this)
     }
 
     /** Closes the connection when bytes arrive while no request is pending. */
@@ -105,15 +110,12 @@
         }
     }
 
-    private fun newCodec() = HttpClientCodec(HttpDecoderConfig().setMaxHeaderSize(HEADER_LIMIT_BYTES), false, false)
-
     override fun channelRead(
         context: ChannelHandlerContext,
         message: Any,
     ) {
         try {
-            // What the codec held after the end of the last response, see [readContent].
-            if (message is HttpObject) read(message) else close()
+            if (message is HttpObject) read(message)
         } finally {
             ReferenceCountUtil.release(message)
         }
@@ -155,10 +157,9 @@
         if (wasReset) return fail("the connection was reset during the response")
         currentReply = null
         // A response that arrives before its request is fully written leaves bytes of the request unsent.
-        val complete = reply.writeFuture.isSuccess
-        val isReusable = complete && HttpUtil.isKeepAlive(reply.head) && reply.isFramed
-        // Removing the codec hands on the bytes that it has not decoded; the next response begins with a new one.
-        if (isReusable) channel.pipeline().replace(HttpClientCodec::class.java, null, newCodec()) else close()
+        val isWritten = reply.writeFuture.isSuccess
+        val isReusable = isWritten && HttpUtil.isKeepAlive(reply.head) && reply.isFramed && decoder.undecodedBytes == 0
+        if (!isReusable) close()
         reply.onEnd()
     }
 
@@ -182,8 +183,6 @@
     }
 
     private companion object {
-        const val HEADER_LIMIT_BYTES = 65_536
-
         /** A request gets a few informational responses and at most one late response to the request before it. */
         const val MAXIMUM_SKIPPED_HEADS = 16
 
@@ -192,6 +191,21 @@
     }
 }
 
+/** Decodes the responses of one connection. */
+private class ResponseDecoder : HttpResponseDecoder(HttpDecoderConfig().setMaxHeaderSize(HEADER_LIMIT_BYTES)) {
+    /** Whether the response answers a `HEAD` request, and so has no body. */
+    var isHeadRequest = false
+
+    /** The bytes received after the message that was decoded last. */
+    val undecodedBytes: Int get() = actualReadableBytes()
+
+    override fun isContentAlwaysEmpty(message: HttpMessage): Boolean = isHeadRequest || super.isContentAlwaysEmpty(message)
+
+    private companion object {
+        const val HEADER_LIMIT_BYTES = 65_536
+    }
+}
+
 /**
  * The response to one request. Its body is read chunk by chunk; the connection stops reading while too many bytes lie unread.
  *
--- a/goldcrestquay-platform-standins/src/test/kotlin/dev/goldcrestquay/standins/platform/LateCopyTest.kt
+++ b/goldcrestquay-platform-standins/src/test/kotlin/dev/goldcrestquay/standins/platform/LateCopyTest.kt
@@ -35,6 +35,9 @@
     /** Only the beginning of the copy comes, while the connection is idle. */
     BEGINNING_LATER,
 
+    /** Only the beginning of a refusal comes, together with each health response. */
+    REFUSAL_BEGINNING_WITH_HEALTH_RESPONSE,
+
     /** An informational response and then the copy come before the response to the next request. */
     AFTER_INFORMATIONAL,
 }
@@ -73,7 +76,8 @@
         copy: LateCopy,
     ) {
         if (received.startsWith("GET ${TargetStandIn.HEALTH_PATH} ")) {
-            socket.write("HTTP/1.1 200 OK\r\nGoldcrestquay-Instance-Id: i-0\r\nContent-Length: 0\r\n\r\n")
+            val after = if (copy == LateCopy.REFUSAL_BEGINNING_WITH_HEALTH_RESPONSE) PARTIAL_REFUSAL else ""
+            socket.write("HTTP/1.1 200 OK\r\nGoldcrestquay-Instance-Id: i-0\r\nContent-Length: 0\r\n\r\n$after")
             return
         }
         val id =
@@ -137,6 +141,9 @@
         /** The status line of the next response becomes the value of its header. */
         const val PARTIAL_HEAD = "HTTP/1.1 200 OK\r\nX-Old: "
 
+        /** Makes the next response read as a refusal, although its request ran. */
+        const val PARTIAL_REFUSAL = "HTTP/1.1 503 Service Unavailable\r\nGoldcrestquay-Not-Executed: 1\r\nDate: "
+
         const val LATER_MILLISECONDS = 3L
     }
 }
