Look at the socket before a connection is used again

Cause: the guard of idle connections sees bytes only once the event loop has read them, and a request that was waiting in the loop's queue is sent before that. Change: OriginConnection.isReady also asks the socket, when a connection is taken from the pool and right before a request is sent. It costs one system call each time.

Before: OriginConnectionReuseTest with a stalled event loop failed for 7 of 7 kinds of bytes and for a closed connection. After: 26 tests pass. Its share of the processor time is not measured yet.

--- a/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/OriginConnection.kt
+++ b/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/OriginConnection.kt
@@ -2,7 +2,6 @@
 
 import dev.goldcrestquay.machine.SocketAddress
 import io.netty.buffer.ByteBuf
-import io.netty.channel.Channel
 import io.netty.channel.ChannelFuture
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInboundHandlerAdapter
@@ -37,7 +36,7 @@
  */
 internal class OriginConnection(
     val address: SocketAddress,
-    private val channel: Channel,
+    private val channel: OriginChannel,
 ) : ChannelInboundHandlerAdapter() {
     private val decoder = ResponseDecoder()
     private var currentReply: OriginReply? = null
@@ -50,9 +49,19 @@
     /** When the connection last became idle, on the pool's clock. */
     var idleSince = Duration.ZERO
 
-    /** Whether another request may be sent. */
+    /** Whether another request may be sent, as far as is known; see [isReady]. */
     val isUsable: Boolean get() = channel.isActive && !isClosed && currentReply == null
 
+    /**
+     * Whether another request may be sent now.
+     *
+     * Looks at the socket too, since a late event loop has not read what arrived meanwhile, and closes the connection if there is anything.
+     */
+    fun isReady(): Boolean {
+        if (isUsable && channel.hasUnreadInput()) close()
+        return isUsable
+    }
+
     /**
      * Sends [request] and returns the first response whose head [accepts] takes; its body may still be arriving.
      *
--- a/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/OriginPool.kt
+++ b/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/OriginPool.kt
@@ -3,13 +3,11 @@
 import dev.goldcrestquay.link.Clock
 import dev.goldcrestquay.machine.SocketAddress
 import io.netty.bootstrap.Bootstrap
-import io.netty.channel.Channel
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInboundHandlerAdapter
 import io.netty.channel.ChannelInitializer
 import io.netty.channel.ChannelOption
 import io.netty.channel.EventLoop
-import io.netty.channel.socket.nio.NioSocketChannel
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CompletableDeferred
 import java.net.InetSocketAddress
@@ -31,7 +29,7 @@
         val oldestIdleSince = clock() - (idleTimeouts[address] ?: DEFAULT_IDLE_TIMEOUT)
         while (true) {
             val connection = connections.removeLastOrNull() ?: return null
-            if (connection.isUsable && connection.idleSince >= oldestIdleSince) return connection
+            if (connection.idleSince >= oldestIdleSince && connection.isReady()) return connection
             connection.close()
         }
     }
@@ -75,7 +73,7 @@
         val bootstrap =
             Bootstrap()
                 .group(eventLoop)
-                .channel(NioSocketChannel::class.java)
+                .channelFactory(::OriginChannel)
                 .option(ChannelOption.TCP_NODELAY, true)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT.inWholeMilliseconds.toInt())
                 .handler(ConnectionInitializer(address, result))
@@ -95,8 +93,8 @@
     private class ConnectionInitializer(
         private val address: SocketAddress,
         private val result: CompletableDeferred<OriginConnection>,
-    ) : ChannelInitializer<Channel>() {
-        override fun initChannel(channel: Channel) {
+    ) : ChannelInitializer<OriginChannel>() {
+        override fun initChannel(channel: OriginChannel) {
             val connection = OriginConnection(address, channel)
             connection.addHandlers()
             channel.pipeline().addLast(ActivationHandler { result.complete(connection) })
--- a/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/TargetExchange.kt
+++ b/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/TargetExchange.kt
@@ -144,7 +144,7 @@
         present: OriginConnection?,
     ): OriginConnection? =
         try {
-            present?.takeIf { it.isUsable } ?: pool.open(target.address)
+            present?.takeIf { it.isReady() } ?: pool.open(target.address)
         } catch (_: IOException) {
             null
         }
--- a/goldcrestquay-http/src/test/kotlin/dev/goldcrestquay/http/edge/OriginConnectionReuseTest.kt
+++ b/goldcrestquay-http/src/test/kotlin/dev/goldcrestquay/http/edge/OriginConnectionReuseTest.kt
@@ -5,7 +5,10 @@
 import io.kotest.assertions.withClue
 import io.kotest.matchers.shouldBe
 import io.netty.handler.codec.http.HttpMethod
+import io.vertx.core.Future
+import io.vertx.core.buffer.Buffer
 import org.junit.jupiter.api.AfterEach
+import org.junit.jupiter.api.Test
 import org.junit.jupiter.params.ParameterizedTest
 import org.junit.jupiter.params.provider.EnumSource
 
@@ -71,4 +74,27 @@
                 withClue(additional) { exchange(response).isUsable shouldBe false }
             }
         }
+
+    /** Guards against the same when the event loop is late: the bytes are in the socket, and no handler has seen them. */
+    @ParameterizedTest
+    @EnumSource
+    fun `a connection whose socket holds bytes is not used again`(additional: AdditionalBytes) =
+        server.test({ socket, _ -> socket.send(CompleteResponse.EMPTY.bytes) }) {
+            server.pool.release(exchange(CompleteResponse.EMPTY))
+            stallUntilDone(server.sockets.single().write(Buffer.buffer(additional.bytes)))
+            server.pool.takeIdle(server.address) shouldBe null
+        }
+
+    /** Guards against requests that are lost since they are sent on a connection that the other side has closed. */
+    @Test
+    fun `a connection that the other side has closed is not used again, though the event loop is late`() =
+        server.test({ socket, _ -> socket.send(CompleteResponse.EMPTY.bytes) }) {
+            server.pool.release(exchange(CompleteResponse.EMPTY))
+            stallUntilDone(server.sockets.single().close())
+            server.pool.takeIdle(server.address) shouldBe null
+        }
+
+    private fun stallUntilDone(operation: Future<Void>) {
+        operation.toCompletionStage().toCompletableFuture().join()
+    }
 }
