Take a response that begins within the head of another for neither

Change: a head whose reason phrase or headers contain a status line ends the exchange as a failure of the connection. The pattern needs a status code, so that a Via header that names the protocol passes. Ruled out: trusting a signature over a refusal, which leaves wrong statuses in place.

Before: JoinedResponseTest failed for 4 of 10 places where a head can break off (the decoder fails for the other 6). After: 11 tests pass; LateCopyTest and EdgeContractTest pass.

--- a/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/OriginConnection.kt
+++ b/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/OriginConnection.kt
@@ -141,6 +141,7 @@
         val reply = currentReply
         when {
             reply == null -> close()
+            head.containsStatusLine() -> fail("the response begins within the head of another")
             head.status().codeClass() == HttpStatusClass.INFORMATIONAL || !reply.accepts(head) -> skip()
             else -> reply.onHead(head)
         }
@@ -200,6 +201,14 @@
     }
 }
 
+/** Whether the head broke off within its reason phrase or a header, so that the status line of the next response became part of it. */
+private fun HttpResponse.containsStatusLine(): Boolean =
+    status().reasonPhrase().containsStatusLine() || headers().any { it.value.containsStatusLine() }
+
+private fun String.containsStatusLine(): Boolean = contains("HTTP/1.") && STATUS_LINE.containsMatchIn(this)
+
+private val STATUS_LINE = Regex("""HTTP/1\.[01] \d{3}( |$)""")
+
 /** Decodes the responses of one connection. */
 private class ResponseDecoder : HttpResponseDecoder(HttpDecoderConfig().setMaxHeaderSize(HEADER_LIMIT_BYTES)) {
     /** Whether the response answers a `HEAD` request, and so has no body. */
