Refuse requests that may outlast a planned stop

Cause: requests were accepted until 2.6 s before the end of the grace period, a constant in place of each request's own time limit, and nothing compared a request with the exit again before a retry, a relay or a late send. Besides, the exit waited for the announcement to the peers before it counted, and took 0.3 s more than counted, since the virtual machine waits for threads in system calls.

Change: PlannedStop knows when the process exits. Until 2.8 s after SIGTERM, or half of the grace period, all requests are taken; later ones only if their deadline or their route's timeout ends before the exit. It is asked before a body is read, before each attempt or relay, and right before sending. Ruled out: a deadline cut to what is left of the grace period (the request would run and fail), and refusing all from SIGTERM on (callers still hold the address).

RequestForwarderTest has the cases by deadline, timeout and grace period, which need the new class and so had no run before.

--- a/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/EdgeServer.kt
+++ b/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/EdgeServer.kt
@@ -9,6 +9,7 @@
 import dev.goldcrestquay.machine.SocketAddress
 import dev.goldcrestquay.routing.ForwardOutcome
 import dev.goldcrestquay.routing.ForwardRequest
+import dev.goldcrestquay.routing.PlannedStop
 import dev.goldcrestquay.routing.RelayTerms
 import dev.goldcrestquay.routing.RequestForwarder
 import dev.goldcrestquay.routing.requestFingerprint
@@ -44,6 +45,7 @@
     private val targets: TargetExchange,
     private val relay: PeerRelay,
     private val forwarder: Forwarder,
+    private val plannedStop: PlannedStop,
     private val clock: Clock,
     private val scope: CoroutineScope,
 ) {
@@ -53,13 +55,6 @@
     private var bodyBytes = 0L
     private var relayedRequests = 0
 
-    /** Whether the entry VM is about to stop; each response then closes its connection. */
-    var isLeaving = false
-
-    /** Whether new requests are refused, see [stopAccepting]. */
-    var isRefusing = false
-        private set
-
     /** The number of callers' connections with a request that has no response yet. */
     val busyConnectionCount: Int get() = pendingRequests.size
 
@@ -78,11 +73,6 @@
             .coAwait()
     }
 
-    /** Refuses the requests that still arrive. */
-    fun stopAccepting() {
-        isRefusing = true
-    }
-
     /**
      * Closes connections that have had no request for [duration].
      *
@@ -129,6 +119,8 @@
         private var forward: ForwardRequest<OriginConnection, EdgeReply>? = null
         lateinit var job: Job
 
+        private val host = request.getHeader("host").orEmpty().substringBefore(':')
+        private val path = request.uri().substringBefore('?')
         private val deadline = request.getHeader(protocol.deadline)?.toLongOrNull()?.milliseconds
         private var reservedBytes = 0L
         private var isForwarding = false
@@ -157,7 +149,9 @@
         private fun codeOfError(): ResultCode = if (isForwarding) ResultCode.CONNECTION_LOST else ResultCode.BAD_REQUEST
 
         private suspend fun serve() {
-            if (isRefusing) return refuse(ResultCode.LEAVING, LEAVING_RETRY_DELAY)
+            if (!forwarder.mayFinish(host, path, deadline, clock() - arrivedAt)) {
+                return refuse(ResultCode.LEAVING, PlannedStop.RETRY_DELAY)
+            }
             if (origin != null && relayedRequests > MAXIMUM_RELAYED_REQUESTS) return refuse(ResultCode.OVERLOADED, RELAY_RETRY_DELAY)
             val limits = state.routes?.plan?.limits
             forward(readBody(limits?.maximumBodyBytes ?: Long.MAX_VALUE) ?: return)
@@ -175,8 +169,8 @@
             val forward =
                 ForwardRequest<OriginConnection, EdgeReply>(
                     id = id,
-                    host = request.getHeader("host").orEmpty().substringBefore(':'),
-                    path = request.uri().substringBefore('?'),
+                    host = host,
+                    path = path,
                     bodyBytes = body.size,
                     arrivedAt = arrivedAt,
                     deadline = deadline,
@@ -286,7 +280,7 @@
             body: Buffer,
             close: Boolean = false,
         ) {
-            val closeAfter = close || isLeaving
+            val closeAfter = close || plannedStop.hasBegun
             if (closeAfter) response.putHeader("Connection", "close")
             response.end(body).coAwait()
             if (closeAfter) request.connection().close()
@@ -314,9 +308,6 @@
         /** How long a large response may take at least once it has begun: answers that are ready are delivered, also late. */
         val MINIMUM_STREAMING_TIME = 2.seconds
 
-        /** The retry delay for callers that a leaving entry VM refuses: they may try another entry VM at once. */
-        val LEAVING_RETRY_DELAY = 20.milliseconds
-
         /** The most requests of other entry VMs that are served at a time, so that this one's own callers are served too. */
         const val MAXIMUM_RELAYED_REQUESTS = 16
 
--- a/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/GatewayNode.kt
+++ b/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/GatewayNode.kt
@@ -18,6 +18,7 @@
 import dev.goldcrestquay.routing.FleetRetryBudget
 import dev.goldcrestquay.routing.ForwardEvent
 import dev.goldcrestquay.routing.ForwarderTables
+import dev.goldcrestquay.routing.PlannedStop
 import dev.goldcrestquay.routing.ProbeBudget
 import dev.goldcrestquay.routing.RelayPeers
 import dev.goldcrestquay.routing.RequestForwarder
@@ -143,6 +144,7 @@
     private val reachMonitor = TargetReachMonitor(reach, state, members, random, probe, pool::release, reports.fleet)
     private val sampler = TargetSampler(clock, random, scope, probeBudget, probe, pool::release)
     private val refresher = RecordRefresher(state, storeReader, clock, scope, reports.fleet)
+    private val plannedStop = PlannedStop(clock) { settings.grace }
     private val forwarderTables =
         ForwarderTables(
             state = state,
@@ -153,16 +155,17 @@
             crashes = crashes,
             reach = reach,
             relayPeers = RelayPeers(members, random),
+            plannedStop = plannedStop,
             refreshRecords = refresher::refreshIfOld,
         )
     private val forwarder = RequestForwarder<OriginConnection, EdgeReply>(forwarderTables, sampler, clock, random, reports.request)
-    private val edgeServer = EdgeServer(vertx, state, protocol, targetExchange, PeerRelay(pool), forwarder, clock, scope)
+    private val edgeServer = EdgeServer(vertx, state, protocol, targetExchange, PeerRelay(pool), forwarder, plannedStop, clock, scope)
 
     /** Whether this entry VM has loaded the store's records and is not leaving, so that callers may be sent to it. */
-    val isReady: Boolean get() = state.isLoaded && !edgeServer.isLeaving
+    val isReady: Boolean get() = state.isLoaded && !plannedStop.hasBegun
 
-    /** Whether this entry VM is about to stop and refuses new requests. */
-    val isRefusing: Boolean get() = edgeServer.isRefusing
+    /** Whether this entry VM is about to stop and takes only requests that end before it does. */
+    val isRefusing: Boolean get() = plannedStop.isRefusing
 
     /** Opens the ports and starts to replicate the store's records; [ready] and [directory] handle the platform's own requests. */
     suspend fun start(
@@ -204,23 +207,18 @@
     /**
      * Stops this entry VM without interrupting a request, and returns when the process may exit.
      *
-     * Announces that it leaves, so that no new callers are sent here, and goes on serving those who still come. Refuses new
-     * requests once all callers have closed their connections, at the latest [LONGEST_REQUEST] before the grace period ends.
+     * Announces that it leaves, so that no new callers are sent here, and goes on serving those who still come, as far as the
+     * [PlannedStop] allows. Returns once all callers have closed their connections, at the latest shortly before the grace period ends.
      */
     suspend fun drain() {
-        edgeServer.isLeaving = true
+        plannedStop.begin()
         members.leave()
         reports.lifecycle("leaving")
-        replicator.announceDeparture()
-        val drainStartedAt = clock()
-        val acceptFor = settings.grace - LONGEST_REQUEST
-        while (clock() - drainStartedAt < acceptFor) {
-            delay(DRAIN_CHECK_INTERVAL)
-            if (clock() - drainStartedAt > MINIMUM_DRAIN && edgeServer.openConnectionCount == 0) break
-        }
-        edgeServer.stopAccepting()
-        while (clock() - drainStartedAt < settings.grace - EXIT_MARGIN && edgeServer.openConnectionCount > 0) {
-            edgeServer.closeQuietConnections(QUIET_DURATION)
+        scope.launch { replicator.announceDeparture() }
+        val begunAt = clock()
+        while (plannedStop.timeLeft > Duration.ZERO) {
+            if (clock() - begunAt > MINIMUM_DRAIN && edgeServer.openConnectionCount == 0) break
+            if (plannedStop.isRefusing) edgeServer.closeQuietConnections(QUIET_DURATION)
             delay(DRAIN_CHECK_INTERVAL)
         }
         reports.lifecycle("stopped")
@@ -264,12 +262,6 @@
         /** The port of the metrics endpoint; the deployment file names the same port. */
         const val METRICS_PORT = 9464
 
-        /** The duration of the longest usual request; no new request is read in this last part of the grace period. */
-        private val LONGEST_REQUEST = 2600.milliseconds
-
-        /** The process exits this long before the grace period ends. */
-        private val EXIT_MARGIN = 300.milliseconds
-
         /** By this time after a start every member has sent a heartbeat, even when many processes were killed together. */
         private val SETTLING_TIME = 3.seconds
 
--- a/goldcrestquay-platform-standins/src/test/kotlin/dev/goldcrestquay/standins/platform/LoopbackEntryVm.kt
+++ b/goldcrestquay-platform-standins/src/test/kotlin/dev/goldcrestquay/standins/platform/LoopbackEntryVm.kt
@@ -33,9 +33,12 @@
         private set
 
     /** Starts the entry VM with the targets whose heartbeats are given by identifier, and waits until it is ready. */
-    suspend fun start(heartbeats: Map<String, String>) {
+    suspend fun start(
+        heartbeats: Map<String, String>,
+        timeout: String = "2000ms",
+    ) {
         store.start()
-        store.write("keyed.op", "config", DeploymentDocuments.plan(version = 1))
+        store.write("keyed.op", "config", DeploymentDocuments.plan(version = 1, timeout = timeout))
         heartbeats.forEach { (id, heartbeat) -> store.write("keyed.servers", id, heartbeat) }
         firstPort = findFreePorts()
         val settings = PlatformSettings.read(DeploymentDocuments.settings("entry", firstPort, store.port)).getOrElse { error(it) }
--- a/goldcrestquay-platform-standins/src/test/kotlin/dev/goldcrestquay/standins/platform/PlannedStopTest.kt
+++ b/goldcrestquay-platform-standins/src/test/kotlin/dev/goldcrestquay/standins/platform/PlannedStopTest.kt
@@ -5,10 +5,12 @@
 import io.kotest.matchers.shouldBe
 import io.vertx.core.http.HttpMethod
 import io.vertx.kotlin.coroutines.dispatcher
+import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.async
 import kotlinx.coroutines.awaitAll
 import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.runBlocking
 import kotlinx.coroutines.withContext
@@ -22,19 +24,23 @@
 /** A planned stop under load must not cut off a request that a target has run, nor one on a connection that was just accepted. */
 class PlannedStopTest {
     private val entryVm = LoopbackEntryVm()
-    private val targets = List(2) { TargetStandIn(entryVm.vertx, "i-$it", executionMilliseconds = 60) }
+    private var targets = targets(executionMilliseconds = 60)
+
+    private fun targets(executionMilliseconds: Long) = List(2) { TargetStandIn(entryVm.vertx, "i-$it", executionMilliseconds) }
 
     @AfterEach
     fun close() = entryVm.close()
 
-    private fun test(body: suspend () -> Unit) =
-        runBlocking {
-            withTimeout(30.seconds) {
-                targets.forEach { it.start() }
-                entryVm.start(targets.associate { it.id to it.heartbeat("shop") })
-                body()
-            }
+    private fun test(
+        timeout: String = "2000ms",
+        body: suspend () -> Unit,
+    ) = runBlocking {
+        withTimeout(30.seconds) {
+            targets.forEach { it.start() }
+            entryVm.start(targets.associate { it.id to it.heartbeat("shop") }, timeout)
+            body()
         }
+    }
 
     private suspend fun drain() = withContext(entryVm.vertx.orCreateContext.dispatcher()) { entryVm.node.gateway.drain() }
 
@@ -87,6 +93,40 @@
             opened.forEach { it.close() }
         }
 
+    /** Guards against requests that are accepted late in the grace period and cut off at its end, while their targets run them. */
+    @Test
+    fun `every request that is sent late in the grace period and runs has its answer when the process may exit`() {
+        targets = targets(executionMilliseconds = 2700)
+        test(timeout = "10s") {
+            val answered = ConcurrentHashMap.newKeySet<String>()
+
+            suspend fun upload(id: String) {
+                entryVm.statusOf("/upload/x", HttpMethod.POST, "photo", id, deadlineMilliseconds = 4000)
+                answered += id
+            }
+            // A kept connection, so that the entry VM does not stop before the first request.
+            val kept = Socket(LoopbackEntryVm.HOST, entryVm.firstPort)
+            kept.getOutputStream().write("GET /none/ HTTP/1.1\r\nHost: shop.example\r\n\r\n".encodeToByteArray())
+            kept.getInputStream().read()
+            val callers =
+                CoroutineScope(Dispatchers.Default).launch {
+                    delay(1.5.seconds)
+                    launch { upload("early") }
+                    delay(1.5.seconds)
+                    repeat(15) { number ->
+                        launch { upload("late-$number") }
+                        delay(100)
+                    }
+                }
+            drain()
+            callers.cancel()
+            val executed = targets.flatMap { target -> target.executed.map { it.id } }
+            (executed - answered).shouldBeEmpty()
+            ("early" in answered) shouldBe true
+            kept.close()
+        }
+    }
+
     private fun firstLine(socket: Socket): String? =
         socket.use {
             it.getOutputStream().write("GET /safe/x HTTP/1.1\r\nHost: shop.example\r\n\r\n".encodeToByteArray())
--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/routing/RequestForwarder.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/routing/RequestForwarder.kt
@@ -20,6 +20,7 @@
  *
  * @property reach whether this entry VM reaches targets.
  * @property relayPeers the peers that serve requests in place of this entry VM while it does not.
+ * @property plannedStop which requests this entry VM still takes while it stops.
  * @property refreshRecords is called before a request is placed, and brings old records up to date if that can be done soon.
  */
 public class ForwarderTables(
@@ -31,6 +32,7 @@
     public val crashes: CrashTable,
     public val reach: TargetReach,
     public val relayPeers: RelayPeers,
+    public val plannedStop: PlannedStop,
     public val refreshRecords: suspend () -> Unit,
 )
 
@@ -67,6 +69,23 @@
         return reportOutcome(request, route, serviceName, outcome)
     }
 
+    /**
+     * Whether a request that arrives now can be forwarded before a planned stop ends; says so before its body is read.
+     *
+     * [age] is how long the request has been under way, and [deadline] how long its caller waits in all.
+     */
+    public fun mayFinish(
+        host: String,
+        path: String,
+        deadline: Duration?,
+        age: Duration,
+    ): Boolean = tables.plannedStop.allows(timeLimit(tables.state.routes?.find(host, path), deadline) - age)
+
+    private fun timeLimit(
+        route: PlannedRoute?,
+        deadline: Duration?,
+    ): Duration = listOfNotNull(deadline, route?.timeout).minOrNull() ?: DEFAULT_TIMEOUT
+
     private fun reportOutcome(
         request: ForwardRequest<Connection, Reply>,
         route: PlannedRoute?,
@@ -98,7 +117,7 @@
         private val route: PlannedRoute,
         private val service: PlannedService,
     ) {
-        private val timeLimit = listOfNotNull(request.deadline, route.timeout).minOrNull() ?: DEFAULT_TIMEOUT
+        private val timeLimit = timeLimit(route, request.deadline)
         private val tried = HashSet<String>()
 
         private val maximumAttempts = (request.origin?.attempts ?: route.maximumAttempts).coerceAtLeast(1)
@@ -128,6 +147,7 @@
             while (attempt <= maximumAttempts) {
                 if (!request.isCallerWaiting) return ForwardOutcome.Unknown(ResultCode.CALL_CANCELLED)
                 if (remaining < MINIMUM_TIME_LEFT) return if (attempt == 1) notRun(ResultCode.DEADLINE_PASSED) else last
+                if (!tables.plannedStop.allows(remaining)) return combineOutcomes(last, LEAVING)
                 blockedFor()?.let { return combineOutcomes(last, ForwardOutcome.NotRun(ResultCode.BLOCKED, it)) }
                 if (tables.reach.isCutOff) {
                     val relayed = if (request.origin == null) relay(maximumAttempts - attempt + 1) else notRun(ResultCode.NO_TARGET)
@@ -254,10 +274,10 @@
             tables.reach.recordContact(target.id, !isUnanswered)
         }
 
-        /** The target may have left while it was probed, or a connection opened to it. */
+        /** The target may have left, or this entry VM's stop come too near, while the target was probed or a connection opened to it. */
         private suspend fun mayStillGetRequests(target: RegisteredTarget): Boolean {
             tables.refreshRecords()
-            return tables.targets.mayGetRequests(target)
+            return tables.targets.mayGetRequests(target) && tables.plannedStop.allows(remaining)
         }
 
         /** Records that a lost connection may mean that the target ended, or that it answered; returns the count in the first case. */
@@ -424,6 +444,9 @@
         /** The peers that are asked to serve one request; the first nearly always can. */
         const val MAXIMUM_RELAYS = 3
 
+        /** The outcome of a request that may not finish before a planned stop ends. */
+        val LEAVING = ForwardOutcome.NotRun(ResultCode.LEAVING, PlannedStop.RETRY_DELAY)
+
         /** The refusals that say that a peer can serve no request now; the request has not run, and another peer may serve it. */
         val PEER_UNUSABLE = setOf(ResultCode.NOT_READY, ResultCode.LEAVING, ResultCode.NO_TARGET)
 
--- a/goldcrestquay/src/test/kotlin/dev/goldcrestquay/machine/OldRecordsTest.kt
+++ b/goldcrestquay/src/test/kotlin/dev/goldcrestquay/machine/OldRecordsTest.kt
@@ -10,6 +10,7 @@
 import dev.goldcrestquay.routing.ForwardRequest
 import dev.goldcrestquay.routing.ForwarderTables
 import dev.goldcrestquay.routing.LoadSample
+import dev.goldcrestquay.routing.PlannedStop
 import dev.goldcrestquay.routing.ProbeBudget
 import dev.goldcrestquay.routing.ProbeResult
 import dev.goldcrestquay.routing.RelayPeers
@@ -157,6 +158,7 @@
                     node.crashes,
                     TargetReach(clock),
                     peers,
+                    PlannedStop(clock) { 6.seconds },
                     node.refresher::refreshIfOld,
                 )
             return RequestForwarder(tables, sampler, clock, random) { }
--- a/goldcrestquay/src/test/kotlin/dev/goldcrestquay/routing/CrashingRequestTest.kt
+++ b/goldcrestquay/src/test/kotlin/dev/goldcrestquay/routing/CrashingRequestTest.kt
@@ -126,6 +126,7 @@
                     node.crashes,
                     TargetReach(clock),
                     peers,
+                    PlannedStop(clock) { 6.seconds },
                     node.refresher::refreshIfOld,
                 )
             return RequestForwarder(tables, sampler, clock, random) { }
--- a/goldcrestquay/src/test/kotlin/dev/goldcrestquay/routing/CutOffEntryVmTest.kt
+++ b/goldcrestquay/src/test/kotlin/dev/goldcrestquay/routing/CutOffEntryVmTest.kt
@@ -117,8 +117,9 @@
                 TargetSampler<String>(clock, random, scope.backgroundScope, ProbeBudget({ 60.0 }, clock) { names().size }, probe) { }
             val budget = FleetRetryBudget({ RetryLimits(0.2, 56.0, 10.seconds) }, clock) { names().size }
             val peers = RelayPeers(node.members, random)
+            val stop = PlannedStop(clock) { 6.seconds }
             val tables =
-                ForwarderTables(node.state, table, budget, SplitChooser(random), node.evidence, node.crashes, reach, peers) {
+                ForwarderTables(node.state, table, budget, SplitChooser(random), node.evidence, node.crashes, reach, peers, stop) {
                     node.refresher.refreshIfOld()
                 }
             return RequestForwarder(tables, sampler, clock, random) { }
--- a/goldcrestquay/src/test/kotlin/dev/goldcrestquay/routing/RequestForwarderTest.kt
+++ b/goldcrestquay/src/test/kotlin/dev/goldcrestquay/routing/RequestForwarderTest.kt
@@ -17,6 +17,7 @@
 import dev.goldcrestquay.registeredTarget
 import dev.goldcrestquay.routePlan
 import dev.goldcrestquay.targetRecord
+import io.kotest.assertions.withClue
 import io.kotest.matchers.collections.shouldBeEmpty
 import io.kotest.matchers.collections.shouldHaveSize
 import io.kotest.matchers.ints.shouldBeLessThan
@@ -44,6 +45,8 @@
     private val probed = mutableListOf<String>()
     private val unreachable = mutableSetOf<String>()
     private lateinit var state: SharedState
+    private lateinit var stop: PlannedStop
+    private var grace = 6.seconds
 
     private fun TestScope.forwarder(
         targets: List<RegisteredTarget>,
@@ -70,8 +73,9 @@
         val budget = FleetRetryBudget({ RetryLimits(0.2, 56.0, 10.seconds) }, clock) { 1 }
         val peers = RelayPeers(FleetMembers(fleetMember(1), clock), random)
         val evidence = VersionEvidence(clock)
+        stop = PlannedStop(clock) { grace }
         val tables =
-            ForwarderTables(state, table, budget, SplitChooser(random), evidence, CrashTable(clock), TargetReach(clock), peers) { }
+            ForwarderTables(state, table, budget, SplitChooser(random), evidence, CrashTable(clock), TargetReach(clock), peers, stop) { }
         return RequestForwarder(tables, sampler, clock, random) { }
     }
 
@@ -85,6 +89,7 @@
             send(dispatch.target)
         }) { 1 }
 
+    private val planWithoutTimeout = routePlan(routes = listOf(plannedRoute(RequestKind.UNSAFE).copy(timeout = null)))
     private val threeTargets = listOf("a", "b", "c").map { registeredTarget(it) }
 
     @Test
@@ -178,6 +183,76 @@
             sentTo.toSet() shouldHaveSize 2
         }
 
+    /** Guards against requests that a planned stop cuts off at targets that run them. */
+    @Test
+    fun `a request that may outlast the stop is refused once callers have had time to go elsewhere, and others are served`() =
+        runTest {
+            listOf(
+                StopCase(after = 0.seconds, deadline = 20.seconds, isServed = true),
+                StopCase(after = 2.6.seconds, deadline = 20.seconds, isServed = true),
+                StopCase(after = 3.seconds, deadline = 4.seconds, isServed = false),
+                StopCase(after = 3.seconds, deadline = null, isServed = false),
+                StopCase(after = 3.seconds, deadline = 2.seconds, isServed = true),
+                StopCase(after = 5.seconds, deadline = 2.seconds, isServed = false),
+                StopCase(after = 5.seconds, deadline = 500.milliseconds, isServed = true),
+                StopCase(after = 3.seconds, grace = 10.seconds, deadline = 8.seconds, isServed = false),
+                StopCase(after = 3.seconds, grace = 10.seconds, deadline = 6.seconds, isServed = true),
+                StopCase(after = 1.seconds, grace = 1.5.seconds, deadline = 2.seconds, isServed = false),
+                StopCase(after = 3.seconds, deadline = 20.seconds, timeout = 1.seconds, isServed = true),
+            ).forEach { case ->
+                grace = case.grace
+                val route = plannedRoute(RequestKind.UNSAFE).copy(timeout = case.timeout)
+                val forwarder = forwarder(threeTargets, plan = routePlan(routes = listOf(route)))
+                sentTo.clear()
+                stop.begin()
+                delay(case.after)
+                val outcome = forwarder.forward(request(RequestKind.UNSAFE, case.deadline) { SendResult.Replied("done") })
+                withClue(case) {
+                    sentTo.size shouldBe if (case.isServed) 1 else 0
+                    if (!case.isServed) outcome shouldBe ForwardOutcome.NotRun(ResultCode.LEAVING, PlannedStop.RETRY_DELAY)
+                    forwarder.mayFinish("shop.example", "/unsafe/x", case.deadline, 0.seconds) shouldBe case.isServed
+                }
+            }
+        }
+
+    /** Guards against a retry, or a send after a slow connection, that a planned stop cuts off. */
+    @Test
+    fun `a request that was taken in time is not sent so late that it may outlast the stop`() =
+        runTest {
+            listOf(Refusal.SHEDDING, Refusal.WITHDRAWN).forEach { refusal ->
+                val forwarder = forwarder(threeTargets, plan = planWithoutTimeout)
+                sentTo.clear()
+                stop.begin()
+                delay(2.7.seconds)
+                val outcome =
+                    forwarder.forward(
+                        request(RequestKind.UNSAFE) {
+                            delay(300)
+                            SendResult.Refused(refusal)
+                        },
+                    )
+                outcome shouldBe ForwardOutcome.NotRun(ResultCode.LEAVING, PlannedStop.RETRY_DELAY)
+                sentTo shouldHaveSize 1
+            }
+        }
+
+    @Test
+    fun `a request whose connection opens so late that it may outlast the stop is not sent`() =
+        runTest {
+            val forwarder = forwarder(threeTargets, plan = planWithoutTimeout)
+            stop.begin()
+            delay(2.7.seconds)
+            var isConfirmed = true
+            val request =
+                ForwardRequest<String, String>("r1", "shop.example", "/unsafe/x", 0, currentTime.milliseconds, 3.seconds, { dispatch ->
+                    delay(300)
+                    isConfirmed = dispatch.confirm()
+                    SendResult.Refused(Refusal.WITHDRAWN)
+                }) { 1 }
+            forwarder.forward(request) shouldBe ForwardOutcome.NotRun(ResultCode.LEAVING, PlannedStop.RETRY_DELAY)
+            isConfirmed shouldBe false
+        }
+
     @Test
     fun `a request that was refused in every attempt is reported as not run`() =
         runTest {
@@ -350,4 +425,13 @@
                 ) { 1 }
             forwarder.forward(unroutable).shouldBeInstanceOf<ForwardOutcome.NotRun>().code shouldBe ResultCode.NO_ROUTE
         }
+
+    /** A request that arrives [after] the begin of a stop with [grace], and whether it is served. */
+    private data class StopCase(
+        val after: Duration,
+        val deadline: Duration?,
+        val isServed: Boolean,
+        val grace: Duration = 6.seconds,
+        val timeout: Duration? = null,
+    )
 }
