Bound the memory of responses over all connections

Reported by another operator: bytes without end from a faulty upstream filled the memory of the machine that had called it, and the requests of other callers ended with it. It can happen here, with many faulty targets at once.

Cause: each connection was bounded, to 256 KiB unread and as much kept until an answer is complete, copied up to four times; hundreds of connections together were not, over a heap of 112 MB. Chunks of one byte kept the buffers they came in, and skipped responses were bounded by their content, not by what had to be decoded.

Change: ResponseMemory counts unread bytes, kept bodies (until a slow caller has taken them) and heads that have not ended. From a fifth of the heap on, answers are passed on as they arrive, connections stop reading while anything lies unread, and a head that has not come after 8 KiB ends its connection. Chunks are copied together, 64 KiB may lie unread, 16 KiB are read at once, and what precedes a response is bounded by the bytes received. A response that is abandoned after its end closes its connection, which nothing returned to the pool before.

--- a/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/EdgeReply.kt
+++ b/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/EdgeReply.kt
@@ -18,7 +18,8 @@
 )
 
 /**
- * Reads [reply] up to its end or the first [BUFFERED_BODY_BYTES], and releases its [connection] to [pool] at the end.
+ * Reads [reply] up to its end or the first [BUFFERED_BODY_BYTES], less while memory is scarce, and releases its [connection] to [pool]
+ * at the end.
  *
  * Throws [OriginException] when the response is truncated within that part.
  */
@@ -27,11 +28,17 @@
     connection: OriginConnection,
     pool: OriginPool,
 ): EdgeReply {
+    val memory = pool.memory
     val bytes = ByteArrayOutputStream()
     var isComplete = false
-    while (!isComplete && bytes.size() < BUFFERED_BODY_BYTES) {
-        val chunk = reply.read()
-        if (chunk == null) isComplete = true else bytes.write(chunk)
+    try {
+        while (!isComplete && bytes.size() < BUFFERED_BODY_BYTES && (bytes.size() == 0 || !memory.isScarce)) {
+            val chunk = reply.read()
+            if (chunk == null) isComplete = true else bytes.write(chunk)
+            memory.hold(chunk?.size ?: 0)
+        }
+    } finally {
+        memory.release(bytes.size())
     }
     if (isComplete) pool.release(connection)
     val headers =
--- a/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/EdgeServer.kt
+++ b/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/EdgeServer.kt
@@ -44,6 +44,7 @@
     private val protocol: TargetProtocol,
     private val targets: TargetExchange,
     private val relay: PeerRelay,
+    private val responseMemory: ResponseMemory,
     private val forwarder: Forwarder,
     private val plannedStop: PlannedStop,
     private val clock: Clock,
@@ -227,7 +228,17 @@
             return null
         }
 
+        /** Sends [reply], which is held until the caller has taken it. */
         private suspend fun respond(reply: EdgeReply) {
+            responseMemory.hold(reply.body.size)
+            try {
+                write(reply)
+            } finally {
+                responseMemory.release(reply.body.size)
+            }
+        }
+
+        private suspend fun write(reply: EdgeReply) {
             if (response.closed()) {
                 reply.rest?.abandon()
                 return
--- a/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/GatewayNode.kt
+++ b/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/GatewayNode.kt
@@ -159,7 +159,8 @@
             refreshRecords = refresher::refreshIfOld,
         )
     private val forwarder = RequestForwarder<OriginConnection, EdgeReply>(forwarderTables, sampler, clock, random, reports.request)
-    private val edgeServer = EdgeServer(vertx, state, protocol, targetExchange, PeerRelay(pool), forwarder, plannedStop, clock, scope)
+    private val edgeServer =
+        EdgeServer(vertx, state, protocol, targetExchange, PeerRelay(pool), pool.memory, forwarder, plannedStop, clock, scope)
 
     /** Whether this entry VM has loaded the store's records and is not leaving, so that callers may be sent to it. */
     val isReady: Boolean get() = state.isLoaded && !plannedStop.hasBegun
--- a/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/OriginConnection.kt
+++ b/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/OriginConnection.kt
@@ -20,6 +20,7 @@
 import io.netty.util.ReferenceCountUtil
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CompletableDeferred
+import java.io.ByteArrayOutputStream
 import java.io.IOException
 import kotlin.time.Duration
 
@@ -37,12 +38,12 @@
 internal class OriginConnection(
     val address: SocketAddress,
     private val channel: OriginChannel,
+    private val memory: ResponseMemory,
 ) : ChannelInboundHandlerAdapter() {
     private val decoder = ResponseDecoder()
     private var currentReply: OriginReply? = null
     private var isSkipping = false
     private var skippedHeads = 0
-    private var skippedBytes = 0
     private var wasReset = false
     private var isClosed = false
 
@@ -72,17 +73,17 @@
         accepts: (HttpResponse) -> Boolean,
     ): OriginReply {
         check(isUsable) { "the connection to $address is busy or closed" }
-        val reply = OriginReply(this, accepts)
+        val reply = OriginReply(this, memory, accepts)
         currentReply = reply
         decoder.isHeadRequest = request.method() == HttpMethod.HEAD
         skippedHeads = 0
-        skippedBytes = 0
         reply.writeFuture = channel.writeAndFlush(request)
         reply.writeFuture.addListener { if (!it.isSuccess) fail("the request could not be written: ${it.cause()?.message}") }
         try {
             reply.awaitHead()
         } catch (exception: CancellationException) {
             close()
+            reply.release()
             throw exception
         }
         return reply
@@ -101,24 +102,27 @@
 
     /** Adds the handlers of this connection to its channel. */
     fun addHandlers() {
-        channel.pipeline().addLast(IdleGuard(), decoder, HttpRequestEncoder(), this)
+        channel.pipeline().addLast(ReceiveGuard(), decoder, HttpRequestEncoder(), this)
     }
 
-    /** Closes the connection when bytes arrive while no request is pending. */
-    private inner class IdleGuard : ChannelInboundHandlerAdapter() {
+    /** Closes the connection when bytes arrive while no request is pending, or too many before the response. */
+    private inner class ReceiveGuard : ChannelInboundHandlerAdapter() {
         override fun channelRead(
             context: ChannelHandlerContext,
             message: Any,
         ) {
-            if (currentReply != null) {
-                context.fireChannelRead(message)
-            } else {
-                ReferenceCountUtil.release(message)
-                this@OriginConnection.close()
+            val reply = currentReply
+            when {
+                reply == null -> this@OriginConnection.close()
+                reply.bytesBeforeHead > maximumBytesBeforeHead() -> fail("too many bytes before the response")
+                else -> reply.onBytesReceived((message as ByteBuf).readableBytes())
             }
+            if (isClosed) ReferenceCountUtil.release(message) else context.fireChannelRead(message)
         }
     }
 
+    private fun maximumBytesBeforeHead(): Int = if (memory.isScarce) MAXIMUM_SCARCE_BYTES_BEFORE_HEAD else MAXIMUM_BYTES_BEFORE_HEAD
+
     override fun channelRead(
         context: ChannelHandlerContext,
         message: Any,
@@ -158,11 +162,9 @@
         val reply = currentReply
         if (isSkipping || reply == null) {
             if (isLast) isSkipping = false
-            skippedBytes += content.content().readableBytes()
-            if (skippedBytes > MAXIMUM_SKIPPED_BYTES) fail("more than $MAXIMUM_SKIPPED_BYTES bytes that belong to no request")
             return
         }
-        if (content.content().isReadable) reply.onChunk(content.content().retain())
+        if (content.content().isReadable) reply.onChunk(content.content())
         if (!isLast) return
         if (wasReset) return fail("the connection was reset during the response")
         currentReply = null
@@ -196,8 +198,11 @@
         /** A request gets a few informational responses and at most one late response to the request before it. */
         const val MAXIMUM_SKIPPED_HEADS = 16
 
-        /** Larger than most responses; a larger late one costs the connection. */
-        const val MAXIMUM_SKIPPED_BYTES = 1_048_576
+        /** The bytes of late responses before the one that is awaited; larger than most responses. */
+        const val MAXIMUM_BYTES_BEFORE_HEAD = 1_048_576
+
+        /** The same while memory is scarce: several times a usual head. */
+        const val MAXIMUM_SCARCE_BYTES_BEFORE_HEAD = 8_192
     }
 }
 
@@ -225,12 +230,13 @@
 }
 
 /**
- * The response to one request. Its body is read chunk by chunk; the connection stops reading while too many bytes lie unread.
+ * The response to one request. Its body is read piece by piece; the connection stops reading while too many bytes lie unread.
  *
  * @property accepts whether a response with the given head belongs to the request.
  */
 internal class OriginReply(
     private val connection: OriginConnection,
+    private val memory: ResponseMemory,
     val accepts: (HttpResponse) -> Boolean,
 ) {
     private val headReceived = CompletableDeferred<Unit>()
@@ -242,8 +248,13 @@
     /** Completes when the request is written to the socket. */
     lateinit var writeFuture: ChannelFuture
 
-    private val chunks = ArrayDeque<ByteBuf>()
-    private var queuedBytes = 0
+    /** The bytes that have arrived on the connection since the request was sent, until the head did. */
+    var bytesBeforeHead = 0
+        private set
+
+    /** Copied out of the received buffers, which may be much larger than a chunk in them. */
+    private val unread = ByteArrayOutputStream()
+    private var heldBytes = 0
     private var failure: OriginException? = null
     private var isComplete = false
     private var nextChunk: CompletableDeferred<Unit>? = null
@@ -260,9 +271,9 @@
         headReceived.await()
     }
 
-    /** The next chunk of the body, or null at its end; throws [OriginException] when the response is truncated. */
+    /** The next part of the body, or null at its end; throws [OriginException] when the response is truncated. */
     suspend fun read(): ByteArray? {
-        while (chunks.isEmpty()) {
+        while (unread.size() == 0) {
             failure?.let { throw it }
             if (isComplete) return null
             val arrival = CompletableDeferred<Unit>()
@@ -274,30 +285,35 @@
                 throw exception
             }
         }
-        val chunk = chunks.removeFirst()
-        queuedBytes -= chunk.readableBytes()
-        if (queuedBytes < QUEUE_LIMIT_BYTES) connection.setAutoRead(true)
-        return ByteArray(chunk.readableBytes()).also {
-            chunk.readBytes(it)
-            chunk.release()
-        }
+        val bytes = unread.toByteArray()
+        release()
+        connection.setAutoRead(true)
+        return bytes
     }
 
-    /** Discards the rest of the body, and closes the connection unless the response is complete. */
+    /** Discards the rest of the body and closes the connection. */
     fun abandon() {
-        if (!isComplete) connection.close()
+        connection.close()
         release()
     }
 
+    /** Counts [bytes] that have arrived on the connection. */
+    fun onBytesReceived(bytes: Int) {
+        if (headReceived.isCompleted) return
+        bytesBeforeHead += bytes
+        holdOnly(minOf(bytesBeforeHead, MAXIMUM_COUNTED_HEAD_BYTES) * HEAD_OVERHEAD)
+    }
+
     fun onHead(newHead: HttpResponse) {
         head = newHead
+        holdOnly(0)
         headReceived.complete(Unit)
     }
 
     fun onChunk(chunk: ByteBuf) {
-        chunks += chunk
-        queuedBytes += chunk.readableBytes()
-        if (queuedBytes >= QUEUE_LIMIT_BYTES) connection.setAutoRead(false)
+        chunk.readBytes(unread, chunk.readableBytes())
+        holdOnly(unread.size())
+        if (unread.size() >= UNREAD_LIMIT_BYTES || memory.isScarce) connection.setAutoRead(false)
         wakeReader()
     }
 
@@ -313,9 +329,15 @@
         wakeReader()
     }
 
-    private fun release() {
-        chunks.forEach { it.release() }
-        chunks.clear()
+    /** Discards what was received and not read. */
+    fun release() {
+        unread.reset()
+        holdOnly(0)
+    }
+
+    private fun holdOnly(bytes: Int) {
+        memory.hold(bytes - heldBytes)
+        heldBytes = bytes
     }
 
     private fun wakeReader() {
@@ -325,7 +347,13 @@
 
     private companion object {
         /** The connection stops reading from the socket while this many bytes lie unread. */
-        const val QUEUE_LIMIT_BYTES = 262_144
+        const val UNREAD_LIMIT_BYTES = 65_536
+
+        /** The memory that a decoded head takes for each of its bytes: a short header line becomes several objects. */
+        const val HEAD_OVERHEAD = 8
+
+        /** The longest head; what exceeds it belongs to skipped responses, which are not kept. */
+        const val MAXIMUM_COUNTED_HEAD_BYTES = 65_536
 
         val BODILESS_STATUSES = setOf(204, 304)
     }
--- a/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/OriginPool.kt
+++ b/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/OriginPool.kt
@@ -3,6 +3,7 @@
 import dev.goldcrestquay.link.Clock
 import dev.goldcrestquay.machine.SocketAddress
 import io.netty.bootstrap.Bootstrap
+import io.netty.channel.AdaptiveRecvByteBufAllocator
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInboundHandlerAdapter
 import io.netty.channel.ChannelInitializer
@@ -20,6 +21,9 @@
     private val eventLoop: EventLoop,
     private val clock: Clock,
 ) {
+    /** The bytes of responses that are held for all requests of this entry VM. */
+    val memory = ResponseMemory()
+
     private val idle = HashMap<SocketAddress, ArrayDeque<OriginConnection>>()
     private val idleTimeouts = HashMap<SocketAddress, Duration>()
 
@@ -75,8 +79,11 @@
                 .group(eventLoop)
                 .channelFactory(::OriginChannel)
                 .option(ChannelOption.TCP_NODELAY, true)
-                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT.inWholeMilliseconds.toInt())
-                .handler(ConnectionInitializer(address, result))
+                .option(
+                    ChannelOption.RECVBUF_ALLOCATOR,
+                    AdaptiveRecvByteBufAllocator(MINIMUM_READ_BYTES, INITIAL_READ_BYTES, MAXIMUM_READ_BYTES),
+                ).option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT.inWholeMilliseconds.toInt())
+                .handler(ConnectionInitializer(address, memory, result))
         val future = bootstrap.connect(InetSocketAddress(address.host, address.port))
         future.addListener {
             if (!it.isSuccess) result.completeExceptionally(OriginException("cannot connect to $address: ${it.cause()?.message}"))
@@ -92,10 +99,11 @@
 
     private class ConnectionInitializer(
         private val address: SocketAddress,
+        private val memory: ResponseMemory,
         private val result: CompletableDeferred<OriginConnection>,
     ) : ChannelInitializer<OriginChannel>() {
         override fun initChannel(channel: OriginChannel) {
-            val connection = OriginConnection(address, channel)
+            val connection = OriginConnection(address, channel, memory)
             connection.addHandlers()
             channel.pipeline().addLast(ActivationHandler { result.complete(connection) })
         }
@@ -105,6 +113,11 @@
         /** The idle timeout for processes that announce none in a Keep-Alive header. */
         val DEFAULT_IDLE_TIMEOUT = 8.seconds
 
+        /** The bytes that are read from a socket at once; a connection that is to stop reading may exceed its limit by so many. */
+        const val MINIMUM_READ_BYTES = 512
+        const val INITIAL_READ_BYTES = 2_048
+        const val MAXIMUM_READ_BYTES = 16_384
+
         /** The share of an announced idle timeout that is used, since the other side starts counting earlier. */
         const val IDLE_TIMEOUT_SHARE = 0.8
 
