Close the connection of a refused health check

Cause: the order went out on the connection of the refused check. A refusal that names no request can't be told from a late copy of itself; that rule was kept for refusals of requests, not for those of health checks. Change: a check that is answered with anything but 200 closes its connection.

Before: RepeatedRefusalTest with refused checks ran the order twice in 3 of 3 cases.

--- a/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/TargetExchange.kt
+++ b/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/TargetExchange.kt
@@ -102,6 +102,8 @@
                 return null
             }
             val reportedLoad = protocol.readLoad { head.headers().get(it) }
+            // A refusal that names no request can't be told from a late copy of itself, so nothing else is sent over its connection.
+            if (head.status().code() != OK) connection.close()
             // A target that reports no load counts as idle at its usual speed.
             val load = reportedLoad ?: LoadSample(0, 0, target.slots, 1.0, healthy = true)
             ProbeResult(load.copy(healthy = head.status().code() == OK, requestLimit = requestLimit(head)), connection)
--- a/goldcrestquay-platform-standins/src/test/kotlin/dev/goldcrestquay/standins/platform/RepeatedRefusalTest.kt
+++ b/goldcrestquay-platform-standins/src/test/kotlin/dev/goldcrestquay/standins/platform/RepeatedRefusalTest.kt
@@ -13,6 +13,7 @@
 import org.junit.jupiter.api.AfterEach
 import org.junit.jupiter.params.ParameterizedTest
 import org.junit.jupiter.params.provider.CsvSource
+import org.junit.jupiter.params.provider.ValueSource
 import kotlin.time.Duration.Companion.seconds
 
 /** Targets that write an earlier refusal once more on a kept connection: it says nothing about the request that runs there now. */
@@ -22,10 +23,14 @@
     /** How often each request ran, by its identifier, at all targets. */
     private val runs = HashMap<String, Int>()
 
-    /** A target that refuses the first request of each connection, and repeats that refusal before each later answer. */
+    /**
+     * A target that refuses the first request of each connection, or each health check when [refusesHealthChecks], and repeats that
+     * refusal before each later answer.
+     */
     private inner class RepeatingTarget(
         private val status: Int,
         private val namesRequest: Boolean,
+        private val refusesHealthChecks: Boolean = false,
     ) {
         private val refusals = HashMap<NetSocket, String>()
 
@@ -44,7 +49,10 @@
             received: String,
         ) {
             if (received.startsWith("GET ${TargetStandIn.HEALTH_PATH} ")) {
-                socket.write("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+                if (refusesHealthChecks) {
+                    refusals[socket] = "HTTP/1.1 $status Refused\r\nGoldcrestquay-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+                }
+                socket.write(refusals[socket]?.takeIf { refusesHealthChecks } ?: "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
                 return
             }
             val id =
@@ -54,7 +62,7 @@
                     .substringAfter(": ")
                     .trim()
             val earlier = refusals[socket]
-            if (earlier == null) {
+            if (earlier == null && !refusesHealthChecks) {
                 val name = if (namesRequest) "$ID_HEADER: $id\r\n" else ""
                 val refusal = "HTTP/1.1 $status Refused\r\n${name}Goldcrestquay-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
                 refusals[socket] = refusal
@@ -63,7 +71,7 @@
             }
             runs.merge(id, 1, Int::plus)
             val answer = "HTTP/1.1 200 OK\r\n$ID_HEADER: $id\r\nGoldcrestquay-Server-Seal: s\r\nContent-Length: 2\r\n\r\nok"
-            socket.write(Buffer.buffer(earlier + answer))
+            socket.write(Buffer.buffer(earlier.orEmpty() + answer))
         }
     }
 
@@ -75,10 +83,18 @@
     fun `a refusal that is repeated does not stand for a request that runs`(
         status: Int,
         namesRequest: Boolean,
-    ): Unit =
+    ) = test { RepeatingTarget(status, namesRequest) }
+
+    /** Guards against an order that runs twice, since the refusal of a health check came once more on the same connection. */
+    @ParameterizedTest
+    @ValueSource(ints = [503, 421, 429])
+    fun `a refusal of a health check that is repeated does not stand for a request that runs`(status: Int) =
+        test { RepeatingTarget(status, namesRequest = false, refusesHealthChecks = true) }
+
+    private fun test(createTarget: () -> RepeatingTarget): Unit =
         runBlocking {
             withTimeout(30.seconds) {
-                val servers = (0..1).map { RepeatingTarget(status, namesRequest).start() }
+                val servers = (0..1).map { createTarget().start() }
                 val heartbeats =
                     servers.mapIndexed { index, server ->
                         "i-$index" to
