Complete large answers in a planned stop

Cause: a leaving entry VM set Connection: close when it ended a response; the head of an answer that is passed on while it arrives has been sent by then, the call threw, and the connection was reset in place of the last chunk. Change: the header goes with the head when the stop has begun; else the connection closes after the answer without it.

Before: PlannedStopTest with answers of 12 MB, begun before and after the stop, failed on a closed connection, with "Response head already sent" in the log. After: 4 tests pass.

--- a/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/EdgeServer.kt
+++ b/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/EdgeServer.kt
@@ -249,6 +249,7 @@
             val rest = reply.rest
             if (rest == null) return end(Buffer.buffer(reply.body))
             response.setChunked(true)
+            if (plannedStop.hasBegun) response.putHeader("Connection", "close")
             try {
                 response.write(Buffer.buffer(reply.body)).coAwait()
                 val isComplete = withTimeoutOrNull(streamingTimeLeft()) { stream(rest) } != null
@@ -292,7 +293,8 @@
             close: Boolean = false,
         ) {
             val closeAfter = close || plannedStop.hasBegun
-            if (closeAfter) response.putHeader("Connection", "close")
+            // A large answer's head has been sent; its connection closes after it all the same.
+            if (closeAfter && !response.headWritten()) response.putHeader("Connection", "close")
             response.end(body).coAwait()
             if (closeAfter) request.connection().close()
         }
--- a/goldcrestquay-platform-standins/src/test/kotlin/dev/goldcrestquay/standins/platform/PlannedStopTest.kt
+++ b/goldcrestquay-platform-standins/src/test/kotlin/dev/goldcrestquay/standins/platform/PlannedStopTest.kt
@@ -2,6 +2,7 @@
 
 import io.kotest.matchers.collections.shouldBeEmpty
 import io.kotest.matchers.collections.shouldNotBeEmpty
+import io.kotest.matchers.ints.shouldBeGreaterThanOrEqual
 import io.kotest.matchers.shouldBe
 import io.vertx.core.http.HttpMethod
 import io.vertx.kotlin.coroutines.dispatcher
@@ -127,9 +128,39 @@
         }
     }
 
+    /** Guards against answers that lose their end in a planned stop, since they are passed on while they arrive. */
+    @Test
+    fun `a large answer is complete whether the stop begins before its head or after it`() {
+        targets.forEach { target -> target.responseBody = { "x".repeat(LARGE_BODY_BYTES) } }
+        test {
+            // The caller reads the first byte only, so that the rest is under way when the stop begins.
+            val begun = Socket(LoopbackEntryVm.HOST, entryVm.firstPort).apply { soTimeout = 10_000 }
+            begun.getOutputStream().write("GET /safe/begun HTTP/1.1\r\nHost: shop.example\r\n\r\n".encodeToByteArray())
+            begun.getInputStream().read()
+            coroutineScope {
+                val stop = async { drain() }
+                entryVm.waitUntil { !entryVm.node.gateway.isReady }
+                val answer = entryVm.call("/unsafe/x", HttpMethod.POST, "order")
+                answer.body().length() shouldBe LARGE_BODY_BYTES
+                answer.getHeader("Connection") shouldBe "close"
+                val rest = begun.use { it.getInputStream().readAllBytes().decodeToString() }
+                rest.takeLast(LAST_CHUNK.length) shouldBe LAST_CHUNK
+                rest.count { it == 'x' } shouldBeGreaterThanOrEqual LARGE_BODY_BYTES
+                stop.await()
+            }
+        }
+    }
+
     private fun firstLine(socket: Socket): String? =
         socket.use {
             it.getOutputStream().write("GET /safe/x HTTP/1.1\r\nHost: shop.example\r\n\r\n".encodeToByteArray())
             it.getInputStream().bufferedReader().readLine()
         }
+
+    private companion object {
+        /** More than sockets buffer and an entry VM keeps of one answer. */
+        const val LARGE_BODY_BYTES = 12_000_000
+
+        const val LAST_CHUNK = "\r\n0\r\n\r\n"
+    }
 }
