Deny request bodies only over the plan's limit

Cause: a limit of the entry VM's memory for one body was checked together with the plan's limit and told as it. Change: one body may have what the plan allows; a body that lacks memory beside the others (32 MiB in all, as before) gets 503.

Before: EdgeContractTest with a body of 20 MB, and with the head of one of 64 MiB, failed with 413.

--- a/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/EdgeServer.kt
+++ b/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/EdgeServer.kt
@@ -194,8 +194,7 @@
             val length = request.getHeader("content-length")?.toLongOrNull()
             val chunked = request.getHeader("transfer-encoding") != null
             if ((length == null || length == 0L) && !chunked) return ByteArray(0)
-            val limit = minOf(maximum, MAXIMUM_BODY_BYTES)
-            if ((length ?: 0) > limit) return refuseBody(ResultCode.BODY_TOO_LARGE)
+            if ((length ?: 0) > maximum) return refuseBody(ResultCode.BODY_TOO_LARGE)
             if (!reserve(length ?: 0)) return refuseBody(ResultCode.OVERLOADED)
             val buffered = Buffer.buffer((length ?: 0L).toInt())
             val refusal = CompletableDeferred<ResultCode?>()
@@ -203,7 +202,7 @@
                 val size = buffered.length() + chunk.length()
                 when {
                     refusal.isCompleted -> Unit
-                    size > limit -> refusal.complete(ResultCode.BODY_TOO_LARGE)
+                    size > maximum -> refusal.complete(ResultCode.BODY_TOO_LARGE)
                     !reserve(size - reservedBytes) -> refusal.complete(ResultCode.OVERLOADED)
                     else -> buffered.appendBuffer(chunk)
                 }
@@ -309,10 +308,11 @@
     private companion object {
         val log by lazy { LogManager.getLogger(EdgeServer::class.java) }
 
-        /** The largest request body. Bodies are kept complete, so that a request that one target refuses can be sent to another. */
-        const val MAXIMUM_BODY_BYTES = 16_777_216L
-
-        /** The largest size of all request bodies together: a third of the heap. */
+        /**
+         * The largest size of all request bodies together: a third of the heap.
+         *
+         * Bodies are kept complete, so that a request that one target refuses can be sent to another.
+         */
         const val MAXIMUM_TOTAL_BODY_BYTES = 33_554_432L
 
         /** How long a large response may take for callers that state no deadline. */
--- a/goldcrestquay-platform-standins/src/test/kotlin/dev/goldcrestquay/standins/platform/EdgeContractTest.kt
+++ b/goldcrestquay-platform-standins/src/test/kotlin/dev/goldcrestquay/standins/platform/EdgeContractTest.kt
@@ -20,6 +20,7 @@
 import io.vertx.ext.web.client.WebClient
 import io.vertx.kotlin.coroutines.coAwait
 import io.vertx.kotlin.coroutines.dispatcher
+import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.async
 import kotlinx.coroutines.awaitAll
 import kotlinx.coroutines.delay
@@ -30,6 +31,7 @@
 import org.junit.jupiter.api.Test
 import org.junit.jupiter.params.ParameterizedTest
 import org.junit.jupiter.params.provider.EnumSource
+import java.net.Socket
 import java.util.concurrent.atomic.AtomicInteger
 import kotlin.random.Random
 import kotlin.time.Duration.Companion.milliseconds
@@ -125,6 +127,37 @@
             allExecuted.single().body shouldBe body
         }
 
+    /** Guards against uploads that are denied although the plan allows their size. */
+    @Test
+    fun `a request body within the plan's limit and the memory left reaches the target complete`() =
+        withEntryVm {
+            val body = "p".repeat(20_000_000)
+            call("/upload/photo", HttpMethod.POST, body, deadlineMilliseconds = 10_000).statusCode() shouldBe 200
+            (allExecuted.single().body == body) shouldBe true
+        }
+
+    @Test
+    fun `a request body over the plan's limit is denied, and one that only lacks memory is refused for now`() =
+        withEntryVm {
+            statusOfAnnouncedBody(67_108_865) shouldBe "413"
+            statusOfAnnouncedBody(67_108_864) shouldBe "503"
+            allExecuted.shouldBeEmpty()
+        }
+
+    /** Sends the head of a request only: one that can't be served is refused before its body. */
+    private suspend fun statusOfAnnouncedBody(bytes: Int): String =
+        withContext(Dispatchers.IO) {
+            Socket(HOST, firstPort).use { socket ->
+                val head = "POST /upload/x HTTP/1.1\r\nHost: shop.example\r\nContent-Length: $bytes\r\n\r\n"
+                socket.getOutputStream().write(head.encodeToByteArray())
+                socket
+                    .getInputStream()
+                    .bufferedReader()
+                    .readLine()
+                    .split(' ')[1]
+            }
+        }
+
     @Test
     fun `a large response reaches the caller complete, and a truncated one closes the connection`() =
         withEntryVm {
