Log requests that a planned stop refuses before their body

A request that the stop refused at its arrival left no line in the log, so that a caller's complaint could not be traced to it. RequestForwarderTest, PlannedStopTest and RelayedRequestTest pass.

--- a/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/EdgeServer.kt
+++ b/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/EdgeServer.kt
@@ -120,6 +120,7 @@
         private var forward: ForwardRequest<OriginConnection, EdgeReply>? = null
         lateinit var job: Job
 
+        private val id = request.getHeader(protocol.requestId).orEmpty()
         private val host = request.getHeader("host").orEmpty().substringBefore(':')
         private val path = request.uri().substringBefore('?')
         private val deadline = request.getHeader(protocol.deadline)?.toLongOrNull()?.milliseconds
@@ -150,9 +151,7 @@
         private fun codeOfError(): ResultCode = if (isForwarding) ResultCode.CONNECTION_LOST else ResultCode.BAD_REQUEST
 
         private suspend fun serve() {
-            if (!forwarder.mayFinish(host, path, deadline, clock() - arrivedAt)) {
-                return refuse(ResultCode.LEAVING, PlannedStop.RETRY_DELAY)
-            }
+            forwarder.refuseEarly(id, host, path, deadline, arrivedAt)?.let { return refuse(it.code, it.retryAfter) }
             if (origin != null && relayedRequests > MAXIMUM_RELAYED_REQUESTS) return refuse(ResultCode.OVERLOADED, RELAY_RETRY_DELAY)
             val limits = state.routes?.plan?.limits
             forward(readBody(limits?.maximumBodyBytes ?: Long.MAX_VALUE) ?: return)
@@ -165,7 +164,6 @@
         }
 
         private suspend fun forward(body: ByteArray) {
-            val id = request.getHeader(protocol.requestId).orEmpty()
             val outgoing = EdgeRequest(id, request.method().name(), request.uri(), headers.filter { isForwarded(it.first) }, body)
             val forward =
                 ForwardRequest<OriginConnection, EdgeReply>(
--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/routing/RequestForwarder.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/routing/RequestForwarder.kt
@@ -70,16 +70,23 @@
     }
 
     /**
-     * Whether a request that arrives now can be forwarded before a planned stop ends; says so before its body is read.
+     * Refuses a request that may not end before a planned stop does, so that its body need not be read; returns null for all others.
      *
-     * [age] is how long the request has been under way, and [deadline] how long its caller waits in all.
+     * @param arrivedAt when the request arrived, earlier by the time that it was under way before.
      */
-    public fun mayFinish(
+    public fun refuseEarly(
+        id: String,
         host: String,
         path: String,
         deadline: Duration?,
-        age: Duration,
-    ): Boolean = tables.plannedStop.allows(timeLimit(tables.state.routes?.find(host, path), deadline) - age)
+        arrivedAt: Duration,
+    ): ForwardOutcome.NotRun? {
+        val route = tables.state.routes?.find(host, path)
+        val age = clock() - arrivedAt
+        if (tables.plannedStop.allows(timeLimit(route, deadline) - age)) return null
+        report(ForwardEvent.Ended(id, route?.name, null, LEAVING.code.kind.name, LEAVING.code, age, late = false))
+        return LEAVING
+    }
 
     private fun timeLimit(
         route: PlannedRoute?,
--- a/goldcrestquay/src/test/kotlin/dev/goldcrestquay/routing/RequestForwarderTest.kt
+++ b/goldcrestquay/src/test/kotlin/dev/goldcrestquay/routing/RequestForwarderTest.kt
@@ -210,7 +210,8 @@
                 withClue(case) {
                     sentTo.size shouldBe if (case.isServed) 1 else 0
                     if (!case.isServed) outcome shouldBe ForwardOutcome.NotRun(ResultCode.LEAVING, PlannedStop.RETRY_DELAY)
-                    forwarder.mayFinish("shop.example", "/unsafe/x", case.deadline, 0.seconds) shouldBe case.isServed
+                    val refusal = forwarder.refuseEarly("r2", "shop.example", "/unsafe/x", case.deadline, currentTime.milliseconds)
+                    (refusal == null) shouldBe case.isServed
                 }
             }
         }
