Count only targets that no longer answer as ended by a request

Cause: nothing told an ended target from a lost connection, unless most targets did not answer. Change: the target is asked for a health check before it counts; the address of a process that has ended refuses the connection at once, and one that does not answer within 0.1 s counts as ended, as before. Ruled out: withdrawing a count later, since that would also clear earlier ends.

--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/routing/ForwardOutcome.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/routing/ForwardOutcome.kt
@@ -153,7 +153,7 @@
      * An attempt ended at its target.
      *
      * @property result `replied`, `failed`, or the name of the refusal or result code.
-     * @property crashCount the targets that ended under this request, when the connection was lost; otherwise null.
+     * @property crashCount the targets that ended under this request, when this one did; otherwise null.
      */
     public data class AttemptEnded(
         override val request: String,
--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/routing/RequestForwarder.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/routing/RequestForwarder.kt
@@ -10,6 +10,8 @@
 import dev.goldcrestquay.machine.RegisteredTarget
 import dev.goldcrestquay.machine.SharedState
 import dev.goldcrestquay.move.VersionEvidence
+import kotlinx.coroutines.NonCancellable
+import kotlinx.coroutines.withContext
 import kotlinx.coroutines.withTimeoutOrNull
 import kotlin.random.Random
 import kotlin.time.Duration
@@ -261,7 +263,8 @@
                 }
             }
             val took = clock() - started
-            report(ForwardEvent.AttemptEnded(request.id, target, resultName(result), took, recordCrash(result, crashesBefore)))
+            val crashCount = withContext(NonCancellable) { recordCrash(target, result, crashesBefore) }
+            report(ForwardEvent.AttemptEnded(request.id, target, resultName(result), took, crashCount))
             recordContact(target, result)
             recordResult(chosen, tickets, result, took)
             recordRequestLimit(chosen.candidate, result)
@@ -287,8 +290,9 @@
             return tables.targets.mayGetRequests(target) && tables.plannedStop.allows(remaining)
         }
 
-        /** Records that a lost connection may mean that the target ended, or that it answered; returns the count in the first case. */
-        private fun recordCrash(
+        /** Records that the target ended under the request, or that it answered; returns the count in the first case. */
+        private suspend fun recordCrash(
+            target: RegisteredTarget,
             result: SendResult<Reply>,
             crashesBefore: Int,
         ): CrashCount? {
@@ -297,6 +301,7 @@
             if (result !is SendResult.Broken || result.code != ResultCode.CONNECTION_LOST) return null
             // Most targets do not answer, so that the way to them is lost rather than this one ended.
             if (tables.reach.isDoubtful) return null
+            if (sampler.isAlive(target, service)) return null
             crashes.recordCrash(request.fingerprint, crashesBefore)
             return CrashCount(request.fingerprint, crashes.crashes(request.fingerprint))
         }
--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/routing/TargetSampler.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/routing/TargetSampler.kt
@@ -91,6 +91,16 @@
         return ChosenTarget(best.candidate, best.probe.connection, factor(best), best.probe.sample.excess, probed)
     }
 
+    /** Whether [target] answers a health check, so that its process lives although a connection to it was lost. */
+    public suspend fun isAlive(
+        target: RegisteredTarget,
+        service: PlannedService,
+    ): Boolean {
+        val answer = withTimeoutOrNull(LIVENESS_TIMEOUT) { probe(target, service) } ?: return false
+        release(answer.connection)
+        return true
+    }
+
     /**
      * The number of targets to probe in each round.
      *
@@ -232,6 +242,9 @@
         /** The additional timeout of a round in which no target has answered yet. */
         private val EXTENDED_PROBE_TIMEOUT = 60.milliseconds
 
+        /** The timeout of the check whether a target lives; the address of a process that has ended refuses the connection at once. */
+        private val LIVENESS_TIMEOUT = 100.milliseconds
+
         /** The factor of a target that reports itself as unhealthy, which ranks it behind healthy ones that are a few times slower. */
         private const val UNHEALTHY_FACTOR = 6.0
 
