--- a/goldcrestquay-platform-standins/src/main/kotlin/dev/goldcrestquay/standins/platform/DeploymentDocuments.kt
+++ b/goldcrestquay-platform-standins/src/main/kotlin/dev/goldcrestquay/standins/platform/DeploymentDocuments.kt
@@ -11,7 +11,7 @@
         """"max_header_bytes":16384,"max_body_bytes":67108864,"header_timeout":"3000ms","idle_timeout":"15000ms""""
 
     /**
-     * Returns a plan that routes `/safe/`, `/unsafe/` and `/upload/` of `shop.example`, each with its request kind, to [service].
+     * Returns a plan that routes the paths of [kinds], such as `/safe/`, of `shop.example` to [service], each with its request kind.
      *
      * @param timeout the timeout of each route, as a duration such as `2000ms`.
      */
@@ -19,9 +19,10 @@
         version: Int,
         service: String = "shop",
         timeout: String = "2000ms",
+        kinds: List<String> = listOf("safe", "unsafe", "upload"),
     ): String {
         val rows =
-            listOf("safe", "unsafe", "upload").joinToString(",") { kind ->
+            kinds.joinToString(",") { kind ->
                 """["route-$kind","shop.example","/$kind/","$kind","$timeout","400ms",1,"$service",2,null]"""
             }
         return """{"version":"%08x","routes":{"columns":["name","host","path_prefix","kind","timeout","target_latency",""".format(version) +
--- a/goldcrestquay-platform-standins/src/test/kotlin/dev/goldcrestquay/standins/platform/EndlessBytesMemoryTest.kt
+++ b/goldcrestquay-platform-standins/src/test/kotlin/dev/goldcrestquay/standins/platform/EndlessBytesMemoryTest.kt
@@ -5,12 +5,15 @@
 import io.kotest.matchers.shouldBe
 import io.kotest.matchers.string.shouldNotContain
 import io.vertx.core.Vertx
+import io.vertx.ext.web.client.WebClient
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.runBlocking
 import kotlinx.coroutines.withTimeout
 import org.junit.jupiter.api.AfterEach
+import org.junit.jupiter.api.io.TempDir
 import org.junit.jupiter.params.ParameterizedTest
 import org.junit.jupiter.params.provider.EnumSource
+import java.io.File
 import java.io.IOException
 import java.net.InetAddress
 import java.net.ServerSocket
@@ -40,6 +43,9 @@
     private val servers = mutableListOf<ServerSocket>()
     private val requests = AtomicInteger()
 
+    @TempDir
+    lateinit var directory: File
+
     @AfterEach
     fun close() {
         servers.forEach { it.close() }
@@ -104,12 +110,23 @@
         entryVm: EntryVmProcess,
         path: String,
     ): Socket {
-        val socket = Socket(entryVm.host, entryVm.firstPort)
+        val socket = Socket(entryVm.address.host, entryVm.address.firstPort)
         val head = "GET $path HTTP/1.1\r\nHost: shop.example\r\nGoldcrestquay-Request-Id: only\r\nGoldcrestquay-Deadline-Ms: 10000\r\n\r\n"
         socket.getOutputStream().write(head.encodeToByteArray())
         return socket
     }
 
+    /** The program with the flags of the deployment, on a loopback address of its own since the metrics port is the same for all. */
+    private fun startEntryVm(): EntryVmProcess {
+        val firstPort = findFreePorts()
+        val address = EntryVmAddress("127.74.${firstPort / ADDRESS_BASE}.${firstPort % ADDRESS_BASE}", firstPort)
+        val settings = File(directory, "settings.json")
+        settings.writeText(DeploymentDocuments.settings("entry", firstPort, store.port, host = address.host))
+        val java = File(System.getProperty("java.home"), "bin/java").path
+        val command = listOf(java, "@../deploy/entry.args", "-cp", System.getProperty("java.class.path"), EntryVmProgram.MAIN_CLASS)
+        return EntryVmProcess(EntryVmProgram(command, File(".")), address, settings, File(directory, "log"))
+    }
+
     /** Guards against an entry VM that runs out of memory and ends, with the requests of all its callers. */
     @ParameterizedTest
     @EnumSource
@@ -119,8 +136,8 @@
                 store.start()
                 store.write("keyed.op", "config", DeploymentDocuments.plan(version = 1, timeout = "10s"))
                 repeat(TARGETS) { startTarget(it, load) }
-                EntryVmProcess(vertx, store.port).use { entryVm ->
-                    entryVm.awaitReady()
+                startEntryVm().use { entryVm ->
+                    entryVm.awaitReady(WebClient.create(vertx))
                     val callers = List(CALLERS) { ask(entryVm, "/unsafe/x").also { delay(2.milliseconds) } }
                     repeat(OTHER_REQUESTS) {
                         withClue({ "after $requests requests: ${entryVm.log.readText().takeLast(2000)}" }) {
@@ -143,6 +160,7 @@
         const val TARGETS = 20
         const val CALLERS = 400
         const val BACKLOG = 100
+        const val ADDRESS_BASE = 250
         const val OTHER_REQUESTS = 10
 
         /** The memory of a process on the platform: 430 MB. */
