Don't count the beginning of an answer as what precedes it

Found by reading the change that bounds the memory of responses: while memory was scarce, an answer whose head came in one read with over 8 KiB of its body ended with its next bytes, as "too many bytes before the response". The caller of an order that ran got 502, or a truncated answer.

Cause: the bytes counted until the head arrived included what came with it, and went on to be compared with the bound. Change: the count is 0 once the head has arrived.

Before: ScarceMemoryTest, "a response that has begun is read to its end", failed with that message. After: it passes, with OriginConnectionReuseTest and JoinedResponseTest.

--- a/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/OriginConnection.kt
+++ b/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/OriginConnection.kt
@@ -248,7 +248,7 @@
     /** Completes when the request is written to the socket. */
     lateinit var writeFuture: ChannelFuture
 
-    /** The bytes that have arrived on the connection since the request was sent, until the head did. */
+    /** The bytes that have arrived on the connection since the request was sent; 0 once the head has. */
     var bytesBeforeHead = 0
         private set
 
@@ -306,6 +306,7 @@
 
     fun onHead(newHead: HttpResponse) {
         head = newHead
+        bytesBeforeHead = 0
         holdOnly(0)
         headReceived.complete(Unit)
     }
