Release what is held of an unsigned answer

Found by reading the change once more. An answer without the target's signature closed its connection without giving up what had arrived of its body, so that these bytes counted as held for good; after some hundred such answers memory counted as scarce until the process ended, and answers were passed on without being kept whole.

Cause: the connection was closed, not the reply abandoned, and a complete reply is released by nothing else. Change: abandon it.

Before: ForeignAnswerTest failed, 500 bytes held where 0 are expected. After: it passes, with ScarceMemoryTest, JoinedResponseTest and OriginConnectionReuseTest (40 tests).

--- a/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/TargetExchange.kt
+++ b/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/TargetExchange.kt
@@ -186,7 +186,7 @@
         }
         val isForeign = !head.headers().contains(protocol.responseSeal) || head.headers().contains(HttpHeaderNames.CONTENT_ENCODING)
         if (isForeign) {
-            connection.close()
+            reply.abandon()
             return SendResult.Broken(ResultCode.FOREIGN_ANSWER)
         }
         return try {
