Abandon large answers that a retry replaces

Cause: an answer over 256 KiB is handed on with the rest unread. A retry after a server error dropped it without closing: its connection stayed open and its unread bytes counted as held for good. A refusal by a peer that came while memory was scarce was dropped the same way. Change: the exchange with the caller keeps such answers and abandons all of them when it ends; the relay abandons a refusal's rest. Result: ReplacedAnswerTest fails before (the connection is still open after 5 s) and passes after; 22 tests of EdgeContractTest, 13 of EndlessBytesTest, 3 of RelayedRequestTest and 2 of ScarceMemoryTest pass. The refusal by a peer has no test of its own.

--- a/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/EdgeServer.kt
+++ b/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/EdgeServer.kt
@@ -5,6 +5,7 @@
 import dev.goldcrestquay.http.CallHeaders
 import dev.goldcrestquay.http.RefusalBody
 import dev.goldcrestquay.link.Clock
+import dev.goldcrestquay.link.SendResult
 import dev.goldcrestquay.machine.SharedState
 import dev.goldcrestquay.machine.SocketAddress
 import dev.goldcrestquay.routing.ForwardOutcome
@@ -127,6 +128,9 @@
         private var reservedBytes = 0L
         private var isForwarding = false
 
+        /** The answers that were not read to their end, whether the caller gets them or a retry replaces them. */
+        private val partialReplies = mutableListOf<OriginReply>()
+
         /** Serves the request; an unexpected error ends this request with a failure, never the process or the other requests. */
         suspend fun run() {
             try {
@@ -144,6 +148,7 @@
                 }
             } finally {
                 bodyBytes -= reservedBytes
+                partialReplies.forEach { it.abandon() }
             }
         }
 
@@ -173,8 +178,13 @@
                     bodyBytes = body.size,
                     arrivedAt = arrivedAt,
                     deadline = deadline,
-                    send = { dispatch -> targets.send(outgoing, dispatch) },
-                    relay = { peer, terms -> relay.relay(outgoing, peer, terms) },
+                    send = { dispatch -> targets.send(outgoing, dispatch).also { if (it is SendResult.Replied) keep(it.reply) } },
+                    relay = {
+                        peer,
+                        terms,
+                        ->
+                        relay.relay(outgoing, peer, terms).also { if (it is ForwardOutcome.Answered) keep(it.reply) }
+                    },
                     origin = origin,
                     computeFingerprint = { requestFingerprint(outgoing.method, request.getHeader("host").orEmpty(), outgoing.uri, body) },
                 )
@@ -187,6 +197,10 @@
             }
         }
 
+        private fun keep(reply: EdgeReply) {
+            reply.rest?.let { partialReplies += it }
+        }
+
         /** The complete body of at most [maximum] bytes, or null when it is refused. A body that breaks off cancels the job. */
         private suspend fun readBody(maximum: Long): ByteArray? {
             val length = request.getHeader("content-length")?.toLongOrNull()
@@ -236,10 +250,7 @@
         }
 
         private suspend fun write(reply: EdgeReply) {
-            if (response.closed()) {
-                reply.rest?.abandon()
-                return
-            }
+            if (response.closed()) return
             response.setStatusCode(reply.status).setStatusMessage(reply.reason)
             reply.headers.forEach { (name, value) -> response.headers().add(name, value) }
             if (origin != null) response.headers().set(CallHeaders.RELAY, PeerRelay.ANSWERED)
@@ -254,8 +265,6 @@
                 log.info("response to request {} had not ended at the caller's deadline", request.getHeader(protocol.requestId))
             } catch (failure: OriginException) {
                 log.info("response to request {} was truncated: {}", request.getHeader(protocol.requestId), failure.message)
-            } finally {
-                rest.abandon()
             }
             // The reset lets the caller tell a truncated response from a complete shorter one.
             response.reset()
--- a/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/PeerRelay.kt
+++ b/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/PeerRelay.kt
@@ -40,7 +40,9 @@
         return try {
             val edgeReply = readEdgeReply(reply, connection, pool)
             val headers = reply.head.headers()
-            if (headers.get(CallHeaders.RELAY) == ANSWERED) ForwardOutcome.Answered(edgeReply, null) else outcomeOf(headers)
+            if (headers.get(CallHeaders.RELAY) == ANSWERED) return ForwardOutcome.Answered(edgeReply, null)
+            edgeReply.rest?.abandon()
+            outcomeOf(headers)
         } catch (_: OriginException) {
             ForwardOutcome.Unknown(ResultCode.ANSWER_TRUNCATED)
         }
