Heed what targets say of themselves: leaving, and a time without requests

A target that leaves says so in its answers (Server-Leaving: 1), and one that turns a request away with 503 may name a time in which it wants none (Retry-After); both were passed on and not read. Change: PlatformProtocol decodes them, TargetNotices holds them for each start of a target, and TargetTable decides by them in the same place as by request limits and cold targets: for choices, retries and once more before a request is sent. A skipped response counts only with the target's identifier, an unsigned one never. A peer that relays tells which target leaves (header goldcrestquay-relay-leaving). Targets that all leave get requests for a second, then callers are refused; if all want none, callers are told to return after the first, spread over two seconds at most. A connection that closes between the last check and the sending is checked again.

--- a/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/CallHeaders.kt
+++ b/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/CallHeaders.kt
@@ -29,6 +29,9 @@
     /** In a request that one entry VM has another one serve, the terms of it; in the response, whether it is a target's answer. */
     const val RELAY = "goldcrestquay-relay"
 
+    /** In the answer to a relayed request, the identifier of the target that gave it, if that target has said that it leaves. */
+    const val RELAY_LEAVING = "goldcrestquay-relay-leaving"
+
     /** The key that identifies a non-idempotent call across its retries. */
     const val IDEMPOTENCY_KEY = "idempotency-key"
 
--- a/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/DecisionLog.kt
+++ b/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/DecisionLog.kt
@@ -188,6 +188,15 @@
             }
             is FleetEvent.PeerSilent -> put("peer", event.peer)
             is FleetEvent.StepFailed -> put("reason", event.reason)
+            is FleetEvent.TargetLeaving -> put("target", event.target)
+            is FleetEvent.TargetSilent -> {
+                put("target", event.target)
+                put("duration_ms", event.duration.inWholeMilliseconds)
+            }
+            is FleetEvent.NoticeUnreadable -> {
+                put("target", event.target)
+                put("text", event.text)
+            }
             is FleetEvent.ReachChanged -> put("reaches_targets", event.reachesTargets)
             is FleetEvent.EventLoopStalled -> put("late_ms", event.late.inWholeMilliseconds)
             is FleetEvent.FactsChanged -> {
--- a/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/EdgeReply.kt
+++ b/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/EdgeReply.kt
@@ -58,4 +58,4 @@
 private const val BUFFERED_BODY_BYTES = 262_144
 
 /** Headers that concern one connection only, Content-Length, which the server sets itself, and what entry VMs tell each other. */
-private val UNFORWARDED_HEADERS = CallHeaders.HOP_BY_HOP + "content-length" + CallHeaders.RELAY
+private val UNFORWARDED_HEADERS = CallHeaders.HOP_BY_HOP + "content-length" + CallHeaders.RELAY + CallHeaders.RELAY_LEAVING
--- a/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/EdgeServer.kt
+++ b/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/EdgeServer.kt
@@ -6,6 +6,7 @@
 import dev.goldcrestquay.http.RefusalBody
 import dev.goldcrestquay.link.Clock
 import dev.goldcrestquay.link.SendResult
+import dev.goldcrestquay.machine.RegisteredTarget
 import dev.goldcrestquay.machine.SharedState
 import dev.goldcrestquay.machine.SocketAddress
 import dev.goldcrestquay.routing.ForwardOutcome
@@ -191,7 +192,7 @@
             this.forward = forward
             isForwarding = true
             when (val outcome = forwarder.forward(forward)) {
-                is ForwardOutcome.Answered -> respond(outcome.reply)
+                is ForwardOutcome.Answered -> respond(outcome.reply, outcome.target)
                 is ForwardOutcome.NotRun -> refuse(outcome.code, outcome.retryAfter)
                 is ForwardOutcome.Unknown -> refuse(outcome.code, null)
             }
@@ -240,20 +241,29 @@
         }
 
         /** Sends [reply], which is held until the caller has taken it. */
-        private suspend fun respond(reply: EdgeReply) {
+        private suspend fun respond(
+            reply: EdgeReply,
+            target: RegisteredTarget?,
+        ) {
             responseMemory.hold(reply.body.size)
             try {
-                write(reply)
+                write(reply, target)
             } finally {
                 responseMemory.release(reply.body.size)
             }
         }
 
-        private suspend fun write(reply: EdgeReply) {
+        private suspend fun write(
+            reply: EdgeReply,
+            target: RegisteredTarget?,
+        ) {
             if (response.closed()) return
             response.setStatusCode(reply.status).setStatusMessage(reply.reason)
             reply.headers.forEach { (name, value) -> response.headers().add(name, value) }
-            if (origin != null) response.headers().set(CallHeaders.RELAY, PeerRelay.ANSWERED)
+            if (origin != null) {
+                response.headers().set(CallHeaders.RELAY, PeerRelay.ANSWERED)
+                if (target != null && targets.isLeaving(target)) response.headers().set(CallHeaders.RELAY_LEAVING, target.id)
+            }
             val rest = reply.rest
             if (rest == null) return end(Buffer.buffer(reply.body))
             response.setChunked(true)
--- a/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/GatewayNode.kt
+++ b/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/GatewayNode.kt
@@ -25,6 +25,7 @@
 import dev.goldcrestquay.routing.RequestLimitShares
 import dev.goldcrestquay.routing.RetryLimits
 import dev.goldcrestquay.routing.SplitChooser
+import dev.goldcrestquay.routing.TargetNotices
 import dev.goldcrestquay.routing.TargetReach
 import dev.goldcrestquay.routing.TargetReachMonitor
 import dev.goldcrestquay.routing.TargetSampler
@@ -134,14 +135,15 @@
         )
     private val coldTargetLimiter = ColdTargetLimiter(settings.self.name, clock) { settledMembers() }
     private val requestLimitShares = RequestLimitShares(settings.self.name) { settledMembers() }
-    private val targetTable = TargetTable(state, settings.self.dataCentre, clock, random, coldTargetLimiter, requestLimitShares)
+    private val notices = TargetNotices(clock, reports.fleet)
+    private val targetTable = TargetTable(state, settings.self.dataCentre, clock, random, coldTargetLimiter, requestLimitShares, notices)
     private val retryBudget =
         FleetRetryBudget({ settings.retryLimits }, clock) { members.largestCount.takeIf { isSettled } }
-    private val targetExchange = TargetExchange(pool, protocol)
+    private val targetExchange = TargetExchange(pool, protocol, notices)
     private val probeBudget = ProbeBudget({ settings.probesPerSecond }, clock) { members.largestCount.takeIf { isSettled } }
     private val reach = TargetReach(clock)
     private val probe = reach.observe(targetExchange::probe)
-    private val reachMonitor = TargetReachMonitor(reach, state, members, random, probe, pool::release, reports.fleet)
+    private val reachMonitor = TargetReachMonitor(reach, state, members, random, probe, pool::release, notices, reports.fleet)
     private val sampler = TargetSampler(clock, random, scope, probeBudget, probe, pool::release)
     private val refresher = RecordRefresher(state, storeReader, clock, scope, reports.fleet)
     private val plannedStop = PlannedStop(clock) { settings.grace }
@@ -160,7 +162,7 @@
         )
     private val forwarder = RequestForwarder<OriginConnection, EdgeReply>(forwarderTables, sampler, clock, random, reports.request)
     private val edgeServer =
-        EdgeServer(vertx, state, protocol, targetExchange, PeerRelay(pool), pool.memory, forwarder, plannedStop, clock, scope)
+        EdgeServer(vertx, state, protocol, targetExchange, PeerRelay(pool, notices), pool.memory, forwarder, plannedStop, clock, scope)
 
     /** Whether this entry VM has loaded the store's records and is not leaving, so that callers may be sent to it. */
     val isReady: Boolean get() = state.isLoaded && !plannedStop.hasBegun
--- a/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/PeerRelay.kt
+++ b/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/PeerRelay.kt
@@ -7,6 +7,8 @@
 import dev.goldcrestquay.routing.ForwardOutcome
 import dev.goldcrestquay.routing.ForwardRequest
 import dev.goldcrestquay.routing.RelayTerms
+import dev.goldcrestquay.routing.TargetNotice
+import dev.goldcrestquay.routing.TargetNotices
 import io.netty.handler.codec.http.HttpHeaders
 import java.io.IOException
 import kotlin.time.Duration
@@ -16,6 +18,7 @@
 /** Relays requests to peers over their own addresses, as ordinary HTTP requests with the [RelayTerms] in a header. */
 internal class PeerRelay(
     private val pool: OriginPool,
+    private val notices: TargetNotices,
 ) {
     /** Has [peer] serve [request]; what the peer says of its own is told apart from a target's answer by [CallHeaders.RELAY]. */
     suspend fun relay(
@@ -40,7 +43,10 @@
         return try {
             val edgeReply = readEdgeReply(reply, connection, pool)
             val headers = reply.head.headers()
-            if (headers.get(CallHeaders.RELAY) == ANSWERED) return ForwardOutcome.Answered(edgeReply, null)
+            if (headers.get(CallHeaders.RELAY) == ANSWERED) {
+                headers.get(CallHeaders.RELAY_LEAVING)?.let { notices.record(it, TargetNotice(isLeaving = true)) }
+                return ForwardOutcome.Answered(edgeReply, null)
+            }
             edgeReply.rest?.abandon()
             outcomeOf(headers)
         } catch (_: OriginException) {
--- a/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/TargetExchange.kt
+++ b/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/TargetExchange.kt
@@ -8,6 +8,8 @@
 import dev.goldcrestquay.routing.Dispatch
 import dev.goldcrestquay.routing.LoadSample
 import dev.goldcrestquay.routing.ProbeResult
+import dev.goldcrestquay.routing.TargetNotice
+import dev.goldcrestquay.routing.TargetNotices
 import io.netty.handler.codec.http.DefaultFullHttpRequest
 import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpMethod
@@ -32,6 +34,7 @@
  * @property notRun states in a target's response that it did not run the request.
  * @property targetId the target's identifier, on health check responses.
  * @property readRequestLimit reads the requests per second that a target takes from all callers together, or returns null when it names none.
+ * @property readNotice reads what a target says of itself from its response's status and headers; several values stand for a repeated header.
  * @property readLoad reads the load from a target's response headers, or returns null when they carry none.
  */
 class TargetProtocol(
@@ -43,13 +46,18 @@
     val targetId: String,
     val readRequestLimit: (header: (String) -> String?) -> Double?,
     val readLoad: (header: (String) -> String?) -> LoadSample?,
+    val readNotice: (status: Int, headers: (String) -> List<String>) -> TargetNotice = { _, _ -> TargetNotice() },
 )
 
 /** Probes targets for their load and sends them requests over pooled connections. */
 class TargetExchange internal constructor(
     private val pool: OriginPool,
     private val protocol: TargetProtocol,
+    private val notices: TargetNotices,
 ) {
+    /** Whether [target] has said that it leaves. */
+    internal fun isLeaving(target: RegisteredTarget): Boolean = notices.isLeaving(target.id)
+
     /**
      * Probes [target] for its load; null when it does not respond or another process has taken its address.
      *
@@ -92,9 +100,13 @@
         request.headers().set(HttpHeaderNames.HOST, target.address.toString())
         return try {
             // A health check response names no request; one that does is a late response to an earlier request.
-            val reply = connection.send(request) { !it.headers().contains(protocol.requestId) }
-            reply.readToEnd(MAXIMUM_SMALL_BODY_BYTES)
+            val reply =
+                connection.send(request) { head ->
+                    (!head.headers().contains(protocol.requestId)).also { if (!it) noteOfSkipped(target, head) }
+                }
             val head = reply.head
+            note(target, head)
+            reply.readToEnd(MAXIMUM_SMALL_BODY_BYTES)
             noteKeepAlive(target, head)
             val id = head.headers().get(protocol.targetId)
             if (id != null && id != target.id) {
@@ -118,23 +130,39 @@
         dispatch: Dispatch<OriginConnection>,
     ): SendResult<EdgeReply> {
         val target = dispatch.target
-        var connection = connect(target, dispatch.connection) ?: return SendResult.Refused(Refusal.CONNECTION_REFUSED)
-        val isConfirmed =
-            try {
-                dispatch.confirm()
-            } catch (exception: CancellationException) {
-                pool.release(connection)
-                throw exception
+        var connection = dispatch.connection
+        repeat(MAXIMUM_CONNECTS) {
+            connection = connect(target, connection) ?: return SendResult.Refused(Refusal.CONNECTION_REFUSED)
+            val opened = checkNotNull(connection)
+            val isConfirmed =
+                try {
+                    dispatch.confirm()
+                } catch (exception: CancellationException) {
+                    pool.release(opened)
+                    throw exception
+                }
+            if (!isConfirmed) {
+                pool.release(opened)
+                return SendResult.Refused(Refusal.WITHDRAWN)
             }
-        if (!isConfirmed) {
-            pool.release(connection)
-            return SendResult.Refused(Refusal.WITHDRAWN)
+            if (opened.isReady()) return exchange(request, dispatch, opened)
         }
-        connection = connect(target, connection) ?: return SendResult.Refused(Refusal.CONNECTION_REFUSED)
+        return SendResult.Refused(Refusal.CONNECTION_REFUSED)
+    }
+
+    private suspend fun exchange(
+        request: EdgeRequest,
+        dispatch: Dispatch<OriginConnection>,
+        connection: OriginConnection,
+    ): SendResult<EdgeReply> {
+        val target = dispatch.target
         return try {
-            val reply = connection.send(outgoingRequest(request, target, dispatch.remaining)) { isResponseTo(request, it) }
+            val reply =
+                connection.send(outgoingRequest(request, target, dispatch.remaining)) { head ->
+                    isResponseTo(request, head).also { if (!it) noteOfSkipped(target, head) }
+                }
             noteKeepAlive(target, reply.head)
-            receive(reply, connection)
+            receive(target, reply, connection)
         } catch (_: OriginException) {
             SendResult.Broken(ResultCode.CONNECTION_LOST)
         }
@@ -172,19 +200,22 @@
     }
 
     private suspend fun receive(
+        target: RegisteredTarget,
         reply: OriginReply,
         connection: OriginConnection,
     ): SendResult<EdgeReply> {
         val head = reply.head
         val status = head.status().code()
-        if (head.headers().contains(protocol.notRun) || status == MISDIRECTED) {
+        val isRefusal = head.headers().contains(protocol.notRun) || status == MISDIRECTED
+        val isForeign = !head.headers().contains(protocol.responseSeal) || head.headers().contains(HttpHeaderNames.CONTENT_ENCODING)
+        if (isRefusal || !isForeign) note(target, head)
+        if (isRefusal) {
             discardBody(reply, connection)
             return SendResult.Refused(
                 if (status == MISDIRECTED) Refusal.DRAINING else Refusal.SHEDDING,
                 requestLimit = requestLimit(head),
             )
         }
-        val isForeign = !head.headers().contains(protocol.responseSeal) || head.headers().contains(HttpHeaderNames.CONTENT_ENCODING)
         if (isForeign) {
             reply.abandon()
             return SendResult.Broken(ResultCode.FOREIGN_ANSWER)
@@ -227,6 +258,28 @@
         )
     }
 
+    /** Records what the response with the given [head] says of [target], unless it says that another target gave it. */
+    private fun note(
+        target: RegisteredTarget,
+        head: HttpResponse,
+    ) {
+        val id = head.headers().get(protocol.targetId)
+        if (id == null || id == target.id) record(target, head)
+    }
+
+    /** The same for a response to no pending request, which another process at the same address may have given before. */
+    private fun noteOfSkipped(
+        target: RegisteredTarget,
+        head: HttpResponse,
+    ) {
+        if (head.headers().get(protocol.targetId) == target.id) record(target, head)
+    }
+
+    private fun record(
+        target: RegisteredTarget,
+        head: HttpResponse,
+    ) = notices.record(target.id, protocol.readNotice(head.status().code()) { head.headers().getAll(it) })
+
     private fun requestLimit(head: HttpResponse): Double? = protocol.readRequestLimit { head.headers().get(it) }
 
     private fun noteKeepAlive(
@@ -251,6 +304,9 @@
         const val MISDIRECTED = 421
         const val FIRST_SERVER_ERROR = 500
 
+        /** The connections that are tried for one request while they close before it is sent. */
+        const val MAXIMUM_CONNECTS = 3
+
         /** A probe that is not answered by then says that the target is stuck or its machine is cut off. */
         val PROBE_TIMEOUT = 500.milliseconds
 
--- a/goldcrestquay-http/src/test/kotlin/dev/goldcrestquay/http/edge/ForeignAnswerTest.kt
+++ b/goldcrestquay-http/src/test/kotlin/dev/goldcrestquay/http/edge/ForeignAnswerTest.kt
@@ -6,6 +6,7 @@
 import dev.goldcrestquay.machine.RegisteredTarget
 import dev.goldcrestquay.machine.TargetPhase
 import dev.goldcrestquay.routing.Dispatch
+import dev.goldcrestquay.routing.TargetNotices
 import io.kotest.matchers.shouldBe
 import org.junit.jupiter.api.AfterEach
 import org.junit.jupiter.api.Test
@@ -28,7 +29,14 @@
             val target =
                 RegisteredTarget("t", "shop", server.address, "north", "v1", 4, TargetPhase.READY, Duration.ZERO, null, 1)
             val request = EdgeRequest("r", "GET", "/", emptyList(), ByteArray(0))
-            val result = TargetExchange(server.pool, protocol).send(request, Dispatch(target, null, 5.seconds) { true })
+            val result =
+                TargetExchange(
+                    server.pool,
+                    protocol,
+                    TargetNotices({
+                        Duration.ZERO
+                    }),
+                ).send(request, Dispatch(target, null, 5.seconds) { true })
             result shouldBe SendResult.Broken(ResultCode.FOREIGN_ANSWER)
             server.pool.memory.heldBytes shouldBe 0
         }
--- a/goldcrestquay-platform-standins/src/main/kotlin/dev/goldcrestquay/standins/platform/TargetStandIn.kt
+++ b/goldcrestquay-platform-standins/src/main/kotlin/dev/goldcrestquay/standins/platform/TargetStandIn.kt
@@ -80,6 +80,23 @@
     /** The requests per second that the target says it takes from all entry VMs together, or null when it names no limit. */
     var requestLimit: Double? = null
 
+    /** The values of the header that says that the target leaves, in all of its answers; one value `1` says so. */
+    var leavingValues: List<String> = emptyList()
+
+    /** Whether health checks carry [leavingValues] too. */
+    var doesHealthCheckTell = true
+
+    /** The `Retry-After` of all refusals and failing health checks, or null to send none. */
+    var retryAfter: String? = null
+
+    /** The requests refused with [ResponseMode.SHED]. */
+    var shedRequests = 0
+        private set
+
+    /** The health checks received. */
+    var healthChecks = 0
+        private set
+
     /** Whether the health check responds with 200 rather than 503. */
     var healthy = true
 
@@ -108,7 +125,11 @@
             """"status":{"state":"$state","seq":$sequence,"warmup_left":"0ms"}}"""
 
     private fun handle(request: HttpServerRequest) {
+        val isTold = doesHealthCheckTell || request.path() != HEALTH_PATH
+        if (isTold && leavingValues.isNotEmpty()) request.response().putHeader("Server-Leaving", leavingValues)
         if (request.path() == HEALTH_PATH) {
+            healthChecks++
+            if (!healthy) retryAfter?.let { request.response().putHeader("Retry-After", it) }
             request.response().putHeader("Goldcrestquay-Instance-Id", id)
             request.response().putHeader("Goldcrestquay-Server-Load", "$runningRequests,0,$slots,$reportedTimePercent")
             request.response().setStatusCode(if (healthy) 200 else 503).end()
@@ -142,6 +163,8 @@
         }
         val mode = responseMode(received)
         if (mode == ResponseMode.SHED) {
+            shedRequests++
+            retryAfter?.let { request.response().putHeader("Retry-After", it) }
             request
                 .response()
                 .setStatusCode(503)
--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/machine/StoreReader.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/machine/StoreReader.kt
@@ -307,6 +307,23 @@
         val peer: String,
     ) : FleetEvent
 
+    /** The target called [target] said in an answer that it leaves, and gets no further requests. */
+    public data class TargetLeaving(
+        val target: String,
+    ) : FleetEvent
+
+    /** The target called [target] asked this entry VM for no requests for the [duration]. */
+    public data class TargetSilent(
+        val target: String,
+        val duration: Duration,
+    ) : FleetEvent
+
+    /** What the target called [target] said of itself in an answer can't be read and does not count; reported once for each target. */
+    public data class NoticeUnreadable(
+        val target: String,
+        val text: String,
+    ) : FleetEvent
+
     /** A step of the replication ended with an unexpected error; it is repeated. */
     public data class StepFailed(
         val reason: String,
--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/routing/RequestForwarder.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/routing/RequestForwarder.kt
@@ -16,6 +16,7 @@
 import kotlin.random.Random
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
 
 /**
  * The shared state that forwarding decisions are based on.
@@ -163,10 +164,15 @@
                     if (relayed != null) return combineOutcomes(last, relayed)
                 }
                 val candidates = tables.targets.candidates(service.name, tried)
-                if (candidates.isEmpty()) return last
+                if (candidates.isEmpty()) return combineOutcomes(last, silenceRefusal() ?: last)
                 if (attempt > paidAttempts && !tables.budget.tryTake(service.name)) return last
                 paidAttempts = attempt
                 val chosen = sampler.choose(candidates, service, transferBytes, acceptableFactor(), tables.state.age() > OLD_RECORDS_AGE)
+                if (isSurpassed(chosen.candidate, candidates)) {
+                    chosen.connection?.let { sampler.release(it) }
+                    tried += chosen.candidate.target.id
+                    continue
+                }
                 val expected = serviceTime(route.name) * chosen.expectedFactor
                 val view = AdmissionView(expected, chosen.excess, objectiveLeft, remaining, route.priority)
                 val admission = admit(view)
@@ -181,6 +187,28 @@
             return (if (neverSent) relay(maximumAttempts) else null) ?: last
         }
 
+        /** Whether [chosen] has said meanwhile that it takes no requests, or none while another of the [candidates] does. */
+        private fun isSurpassed(
+            chosen: TargetCandidate,
+            candidates: List<TargetCandidate>,
+        ): Boolean =
+            when (chosen.allowance) {
+                TargetAllowance.OPEN -> false
+                TargetAllowance.LAST_RESORT -> candidates.any { it.allowance == TargetAllowance.OPEN }
+                TargetAllowance.CLOSED -> true
+            }
+
+        /**
+         * The refusal when all targets want no requests for a time, or null when they do not.
+         *
+         * Callers are told to return after the first target takes requests again, spread so that it does not get all of them at once.
+         */
+        private fun silenceRefusal(): ForwardOutcome.NotRun? {
+            val left = tables.targets.silenceLeft(service.name) ?: return null
+            val spread = left.coerceIn(MINIMUM_RETRY_DELAY, MAXIMUM_SILENCE_SPREAD) * random.nextDouble()
+            return ForwardOutcome.NotRun(ResultCode.NO_TARGET, left + spread)
+        }
+
         /** Has a peer serve the request, with up to [attempts] targets; null when no peer reaches any. */
         private suspend fun relay(attempts: Int): ForwardOutcome<Reply>? {
             var last: ForwardOutcome<Reply>? = null
@@ -301,7 +329,7 @@
             if (result !is SendResult.Broken || result.code != ResultCode.CONNECTION_LOST) return null
             // Most targets do not answer, so that the way to them is lost rather than this one ended.
             if (tables.reach.isDoubtful) return null
-            if (sampler.isAlive(target, service)) return null
+            if (!tables.targets.isSilent(target) && sampler.isAlive(target, service)) return null
             crashes.recordCrash(request.fingerprint, crashesBefore)
             return CrashCount(request.fingerprint, crashes.crashes(request.fingerprint))
         }
@@ -468,6 +496,9 @@
         /** The longest retry delay before the spread is applied: callers wait at most a third of their deadline. */
         val MAXIMUM_RETRY_DELAY = 800.milliseconds
 
+        /** The longest time over which callers that are refused until targets take requests again are spread. */
+        val MAXIMUM_SILENCE_SPREAD = 2.seconds
+
         /** The random extension of a retry delay, as a share of it, so that callers refused together do not retry together. */
         const val RETRY_DELAY_SPREAD = 1.0
     }
--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/routing/TargetReachMonitor.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/routing/TargetReachMonitor.kt
@@ -9,6 +9,7 @@
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.supervisorScope
 import kotlin.random.Random
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
 /** Tells the peers whether this entry VM reaches targets, and probes some while it does not, since its requests go to peers then. */
@@ -19,6 +20,7 @@
     private val random: Random,
     private val probe: suspend (RegisteredTarget, PlannedService) -> ProbeResult<Connection>?,
     private val release: (Connection) -> Unit,
+    private val notices: TargetNotices,
     private val report: (FleetEvent) -> Unit,
 ) {
     /** Watches until cancelled; an unexpected error of a probe ends that probe alone. */
@@ -41,6 +43,7 @@
     private fun probedTargets(): List<Pair<RegisteredTarget, PlannedService>> =
         state
             .targets()
+            .filter { notices.silenceLeft(it.target.id) == Duration.ZERO }
             .shuffled(random)
             .take(PROBES)
             .mapNotNull { known -> state.routes?.service(known.target.service)?.let { known.target to it } }
--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/routing/TargetSampler.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/routing/TargetSampler.kt
@@ -56,7 +56,8 @@
      *
      * Probes further rounds of targets until the best expected factor is below [acceptableFactor] or the probe budget is used up.
      * [transferBytes] are the expected bytes of the request and its response. While [areRecordsOld], a target whose health check fails
-     * may have said that it leaves, and gets no request if another target can be chosen.
+     * may have said that it leaves, and gets no request if another target can be chosen. A target that says so, or that it wants no
+     * requests, only in reply to the probe is chosen if nothing better answers: see [TargetCandidate.allowance].
      */
     public suspend fun choose(
         candidates: List<TargetCandidate>,
@@ -76,7 +77,7 @@
                 if (group.isEmpty()) break
                 probed += group.size
                 answers += probeAll(group, service)
-                val best = answers.minOfOrNull(::factor)
+                val best = answers.filter { it.candidate.allowance == TargetAllowance.OPEN }.minOfOrNull(::factor)
                 if (best != null && best < acceptableFactor) break
             }
         } catch (exception: CancellationException) {
@@ -85,7 +86,7 @@
         } finally {
             activeChoices--
         }
-        val best = answers.minByOrNull(::factor)
+        val best = answers.minWithOrNull(compareBy({ it.candidate.allowance }, { factor(it) }))
         answers.filter { it !== best }.forEach { release(it.probe.connection) }
         if (best == null) return chooseWithoutProbe(candidates, probed)
         return ChosenTarget(best.candidate, best.probe.connection, factor(best), best.probe.sample.excess, probed)
@@ -139,7 +140,7 @@
         candidates: List<TargetCandidate>,
         probed: Int,
     ): ChosenTarget<Connection> {
-        val chosen = reachable(candidates).shuffled(random).minBy { recentFactor(it) }
+        val chosen = reachable(candidates).shuffled(random).minWith(compareBy({ it.allowance }, { recentFactor(it) }))
         return ChosenTarget(chosen, null, recentFactor(chosen), recentSample(chosen)?.excess ?: 0, probed)
     }
 
--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/routing/TargetTable.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/routing/TargetTable.kt
@@ -22,11 +22,15 @@
     public val health: TargetHealth,
     public val isLocal: Boolean,
     public val isCold: Boolean,
-)
+    private val notices: TargetNotices,
+) {
+    /** Whether the target may get a request now, according to what it says of itself. */
+    public val allowance: TargetAllowance get() = notices.allowance(target.id)
+}
 
 /**
- * The registered targets that may get a request on the platform, according to the store's records, the rollouts and this entry
- * VM's own requests.
+ * The registered targets that may get a request on the platform, according to the store's records, the rollouts, this entry VM's own
+ * requests and what the targets say of themselves.
  *
  * Rebuilt when the shared state changes. Not thread-safe: confined to the entry VM's event loop.
  */
@@ -37,6 +41,7 @@
     private val random: Random,
     private val coldTargetLimiter: ColdTargetLimiter,
     private val requestLimitShares: RequestLimitShares,
+    private val notices: TargetNotices = TargetNotices(clock),
 ) {
     private val healthByTarget = HashMap<String, TargetHealth>()
     private var builtSequence = -1L
@@ -46,7 +51,11 @@
     /** The health of [target] according to this entry VM's requests. */
     public fun health(target: RegisteredTarget): TargetHealth = healthByTarget.getOrPut(target.id) { TargetHealth(clock) }
 
-    /** All targets of [service] that may get a request now, except those whose identifiers are in [excluded]. */
+    /**
+     * All targets of [service] that may get a request now, except those whose identifiers are in [excluded].
+     *
+     * Targets that have just said that they leave are among them only when there are no others.
+     */
     public fun candidates(
         service: String,
         excluded: Set<String>,
@@ -55,16 +64,40 @@
         val known = byService[service].orEmpty()
         val versions = versionFilter(service, known)
         val requestsPerSecond = state.routes?.service(service)?.coldRequestsPerSecond ?: 0.0
-        return known
-            .filter { versions(it.target.version) && it.target.id !in excluded }
-            .map { candidate(it) }
-            .filter { !it.isCold || coldTargetLimiter.allows(it.target.id, requestsPerSecond) }
-            .filter { isWithinRequestLimit(it) }
+        val allowed =
+            known
+                .filter { versions(it.target.version) && it.target.id !in excluded }
+                .map { candidate(it) }
+                .filter { it.allowance != TargetAllowance.CLOSED }
+                .filter { !it.isCold || coldTargetLimiter.allows(it.target.id, requestsPerSecond) }
+                .filter { isWithinRequestLimit(it) }
+        return allowed.filter { it.allowance == TargetAllowance.OPEN }.ifEmpty { allowed }
     }
 
-    /** Whether [target] is still registered to take requests, in a data centre that gets any. */
+    /** How long all targets of [service] that do not leave want no requests from this entry VM, or null if some may get one. */
+    public fun silenceLeft(service: String): Duration? {
+        rebuildIfStale()
+        val known = byService[service].orEmpty()
+        val versions = versionFilter(service, known)
+        val left =
+            known
+                .map { it.target }
+                .filter {
+                    versions(
+                        it.version,
+                    ) &&
+                        !notices.isLeaving(it.id)
+                }.minOfOrNull { notices.silenceLeft(it.id) }
+        return left?.takeIf { it > Duration.ZERO }
+    }
+
+    /** Whether [target] wants no requests from this entry VM at present. */
+    public fun isSilent(target: RegisteredTarget): Boolean = notices.silenceLeft(target.id) > Duration.ZERO
+
+    /** Whether [target] is still registered to take requests, in a data centre that gets any, and still takes them by its own word. */
     public fun mayGetRequests(target: RegisteredTarget): Boolean {
         rebuildIfStale()
+        if (notices.allowance(target.id) == TargetAllowance.CLOSED) return false
         return byService[target.service].orEmpty().any { it.target.id == target.id }
     }
 
@@ -83,7 +116,7 @@
         val now = clock()
         val health = health(known.target)
         val isCold = now < known.changedAt + known.target.warmUpLeft || health.isColdAt(now)
-        return TargetCandidate(known.target, health, known.target.dataCentre == dataCentre, isCold)
+        return TargetCandidate(known.target, health, known.target.dataCentre == dataCentre, isCold, notices)
     }
 
     /**
@@ -128,7 +161,9 @@
             targets
                 .filter { it.target.phase == TargetPhase.READY && it.target.dataCentre !in evacuated }
                 .groupBy { it.target.service }
-        healthByTarget.keys.retainAll(targets.mapTo(HashSet()) { it.target.id })
+        val registered = targets.mapTo(HashSet()) { it.target.id }
+        healthByTarget.keys.retainAll(registered)
+        notices.retain(registered)
     }
 
     private companion object {
--- a/goldcrestquay/src/test/kotlin/dev/goldcrestquay/routing/CutOffEntryVmTest.kt
+++ b/goldcrestquay/src/test/kotlin/dev/goldcrestquay/routing/CutOffEntryVmTest.kt
@@ -111,7 +111,7 @@
                         }
                     }
                 }
-            val monitor = TargetReachMonitor(reach, node.state, node.members, random, probe, { }, { })
+            val monitor = TargetReachMonitor(reach, node.state, node.members, random, probe, { }, TargetNotices(clock), { })
             scope.backgroundScope.launch { monitor.run() }
             val sampler =
                 TargetSampler<String>(clock, random, scope.backgroundScope, ProbeBudget({ 60.0 }, clock) { names().size }, probe) { }
