--- a/goldcrestquay/src/test/kotlin/dev/goldcrestquay/routing/NoticedTargetTest.kt
+++ b/goldcrestquay/src/test/kotlin/dev/goldcrestquay/routing/NoticedTargetTest.kt
@@ -80,16 +80,19 @@
         return RequestForwarder(tables, sampler, clock, random) { }
     }
 
-    private fun TestScope.request(send: suspend (RegisteredTarget) -> SendResult<String> = { SendResult.Replied("ok") }) =
-        ForwardRequest<String, String>("r1", "shop.example", "/safe/x", 0, currentTime.milliseconds, 3.seconds, { dispatch ->
-            if (!dispatch.confirm()) {
-                SendResult.Refused(Refusal.WITHDRAWN)
-            } else {
-                sentTo += dispatch.target.id
-                sentAt += currentTime.milliseconds
-                send(dispatch.target)
-            }
-        }) { 1 }
+    private fun TestScope.request(
+        beforeSending: () -> Unit = { },
+        send: suspend (RegisteredTarget) -> SendResult<String> = { SendResult.Replied("ok") },
+    ) = ForwardRequest<String, String>("r1", "shop.example", "/safe/x", 0, currentTime.milliseconds, 3.seconds, { dispatch ->
+        beforeSending()
+        if (!dispatch.confirm()) {
+            SendResult.Refused(Refusal.WITHDRAWN)
+        } else {
+            sentTo += dispatch.target.id
+            sentAt += currentTime.milliseconds
+            send(dispatch.target)
+        }
+    }) { 1 }
 
     private val twoTargets = listOf("leaving", "other").map { registeredTarget(it) }
 
@@ -171,7 +174,7 @@
                     val forwarder = forwarder(case.targets)
                     notices.record("silent", TargetNotice(silence = 1.5.seconds))
                     repeat(14) {
-                        forwarder.forward(request(case.send))
+                        forwarder.forward(request(send = case.send))
                         delay(100.milliseconds)
                     }
                     sentTo shouldNotContain "silent"
@@ -189,6 +192,31 @@
             sentTo.shouldBeEmpty()
         }
 
+    @Test
+    fun `a target that says so while the connection is opened does not get the request`() =
+        runTest {
+            listOf(TargetNotice(silence = 5.seconds), TargetNotice(isLeaving = true, silence = 0.1.seconds)).forEach { notice ->
+                sentTo.clear()
+                val forwarder = forwarder(listOf(registeredTarget("a")))
+                forwarder.forward(request(beforeSending = { notices.record("a", notice) })).shouldBeInstanceOf<ForwardOutcome.NotRun>()
+                sentTo.shouldBeEmpty()
+            }
+        }
+
+    @Test
+    fun `after a lost connection a target that wants no requests is not asked whether it lives`() =
+        runTest {
+            val forwarder = forwarder(listOf(registeredTarget("a")))
+            forwarder.forward(
+                request {
+                    probed.clear()
+                    notices.record("a", TargetNotice(silence = 5.seconds))
+                    SendResult.Broken()
+                },
+            )
+            probed.shouldBeEmpty()
+        }
+
     @Test
     fun `callers are told to return when the first target takes requests again`() =
         runTest {
