--- a/goldcrestquay/src/test/kotlin/dev/goldcrestquay/routing/NoticedTargetTest.kt
+++ b/goldcrestquay/src/test/kotlin/dev/goldcrestquay/routing/NoticedTargetTest.kt
@@ -46,6 +46,9 @@
     /** What each target says of itself in reply to a probe. */
     private val saidToProbe = HashMap<String, TargetNotice>()
 
+    /** The targets that answer probes so late that a request is placed without their answers. */
+    private val lateProbes = mutableSetOf<String>()
+
     private fun TestScope.forwarder(targets: List<RegisteredTarget>): RequestForwarder<String, String> {
         val clock = { currentTime.milliseconds }
         state = SharedState(clock)
@@ -61,6 +64,7 @@
         val probe: suspend (RegisteredTarget, Any) -> ProbeResult<String>? = { target, _ ->
             delay(1)
             probed += target.id
+            if (target.id in lateProbes) delay(200)
             saidToProbe[target.id]?.let { notices.record(target.id, it) }
             ProbeResult(LoadSample(0, 0, 4, 1.0, true), target.id)
         }
@@ -117,6 +121,16 @@
             released.count { it == "leaving" } shouldBe probed.count { it == "leaving" }
         }
 
+    @Test
+    fun `a target that says that it leaves as the only one to answer its probe does not get the request`() =
+        runTest {
+            saidToProbe["leaving"] = TargetNotice(isLeaving = true)
+            lateProbes += "other"
+            forwarder(twoTargets).forward(request()).shouldBeInstanceOf<ForwardOutcome.Answered<String>>()
+            sentTo shouldBe listOf("other")
+            released.count { it == "leaving" } shouldBe 1
+        }
+
     @Test
     fun `a retry does not go to a target that said that it leaves in its refusal to another request`() =
         runTest {
