List that a relay to a release before it is not told apart from no answer

Cause: an entry VM of answers a relayed request with 404 and without the relay header; the head is skipped as another's, and the request waits until its deadline and counts as unknown, though it has not run. Result: EarlierRelayTest fails in this case (no outcome within 2 s), the other passes.

--- a/goldcrestquay-http/src/test/kotlin/dev/goldcrestquay/http/edge/EarlierRelayTest.kt
+++ b/goldcrestquay-http/src/test/kotlin/dev/goldcrestquay/http/edge/EarlierRelayTest.kt
@@ -1,12 +1,38 @@
 package dev.goldcrestquay.http.edge
 
+import dev.goldcrestquay.contract.ResultCode
+import dev.goldcrestquay.http.edge.ScriptedServer.Companion.send
+import dev.goldcrestquay.machine.FleetMember
+import dev.goldcrestquay.routing.ForwardOutcome
 import dev.goldcrestquay.routing.RelayTerms
+import dev.goldcrestquay.routing.TargetNotices
 import io.kotest.matchers.shouldBe
+import io.kotest.matchers.types.shouldBeInstanceOf
+import kotlinx.coroutines.withTimeoutOrNull
+import org.junit.jupiter.api.AfterEach
 import org.junit.jupiter.api.Test
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
 
 /** The values of the relay header that an earlier release wrote: the terms, an answer, and a refusal by the peer. */
 class EarlierRelayTest {
+    private val server = ScriptedServer()
+
+    @AfterEach
+    fun close() = server.close()
+
+    /** Releases before the relay serve nothing but the exchange at their peers' address. */
+    @Test
+    fun `a peer of a release before the relay has not run a request, so that another peer may`() =
+        server.test({ socket, _ -> socket.send("HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n") }) {
+            val peer = FleetMember("vm-2", 1, "north", server.address, server.address, true)
+            val request = EdgeRequest("r", "GET", "/", emptyList(), ByteArray(0))
+            val relay = PeerRelay(server.pool, TargetNotices({ Duration.ZERO }))
+            val outcome = withTimeoutOrNull(2.seconds) { relay.relay(request, peer, RelayTerms("vm-1", Duration.ZERO, 1)) }
+            outcome.shouldBeInstanceOf<ForwardOutcome.NotRun>().code shouldBe ResultCode.NOT_READY
+        }
+
     @Test
     fun `relay headers of an earlier release are read, and written alike`() {
         val (terms, answered, notAnswered) = checkNotNull(javaClass.getResource("/releases/relay-81aa787.txt")).readText().lines()
