Read a peer's rejection of a relayed request as not run

Callers saw: in an upgrade from a release before the relay, a request that a cut-off entry VM relayed to a peer of that release got no answer until its deadline, and then 502 (unknown), though it had not run. Cause: only responses with the relay header counted as the peer's; the 404 of a release that does not know the header was skipped as foreign. Change: a 4xx response without the header says that the request has not run. Releases that relay mark each of their answers, so an answer of a target can't be taken for it.

--- a/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/PeerRelay.kt
+++ b/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/PeerRelay.kt
@@ -10,6 +10,8 @@
 import dev.goldcrestquay.routing.TargetNotice
 import dev.goldcrestquay.routing.TargetNotices
 import io.netty.handler.codec.http.HttpHeaders
+import io.netty.handler.codec.http.HttpResponse
+import io.netty.handler.codec.http.HttpStatusClass
 import java.io.IOException
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -36,7 +38,7 @@
         outgoing.headers().set(CallHeaders.RELAY, format(terms))
         val reply =
             try {
-                connection.send(outgoing) { it.headers().contains(CallHeaders.RELAY) }
+                connection.send(outgoing) { it.headers().contains(CallHeaders.RELAY) || it.isRejection }
             } catch (_: OriginException) {
                 return ForwardOutcome.Unknown(ResultCode.CONNECTION_LOST)
             }
@@ -48,12 +50,20 @@
                 return ForwardOutcome.Answered(edgeReply, null)
             }
             edgeReply.rest?.abandon()
-            outcomeOf(headers)
+            if (headers.contains(CallHeaders.RELAY)) outcomeOf(headers) else ForwardRequest.UNAVAILABLE_PEER
         } catch (_: OriginException) {
             ForwardOutcome.Unknown(ResultCode.ANSWER_TRUNCATED)
         }
     }
 
+    /**
+     * Whether the peer rejects the request as none that it knows, since its release does not relay.
+     *
+     * A release that relays marks its every answer to a relayed request, so this one has not run.
+     */
+    private val HttpResponse.isRejection: Boolean
+        get() = status().codeClass() == HttpStatusClass.CLIENT_ERROR
+
     private fun outcomeOf(headers: HttpHeaders): ForwardOutcome<Nothing> {
         val code = headers.get(CallHeaders.RESULT_CODE)?.toIntOrNull()?.let { ResultCode.of(it) }
         if (code?.kind != ResultKind.NOT_RUN) return ForwardOutcome.Unknown(code ?: ResultCode.FOREIGN_ANSWER)
