Don't relay again to a peer whose release does not relay

Cause: each request that a cut-off entry VM relayed asked three random peers; with three of a release before the relay among them it was refused as not run, though others could serve it. Change: RelayPeers leaves out a member that rejected a relayed request with 404 until it restarts. Other 4xx statuses are rejections of one request alone, so a caller's odd request takes no sound peer out.

--- a/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/GatewayNode.kt
+++ b/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/GatewayNode.kt
@@ -147,6 +147,7 @@
     private val sampler = TargetSampler(clock, random, scope, probeBudget, probe, pool::release)
     private val refresher = RecordRefresher(state, storeReader, clock, scope, reports.fleet)
     private val plannedStop = PlannedStop(clock) { settings.grace }
+    private val relayPeers = RelayPeers(members, random)
     private val forwarderTables =
         ForwarderTables(
             state = state,
@@ -156,13 +157,14 @@
             evidence = evidence,
             crashes = crashes,
             reach = reach,
-            relayPeers = RelayPeers(members, random),
+            relayPeers = relayPeers,
             plannedStop = plannedStop,
             refreshRecords = refresher::refreshIfOld,
         )
     private val forwarder = RequestForwarder<OriginConnection, EdgeReply>(forwarderTables, sampler, clock, random, reports.request)
+    private val relay = PeerRelay(pool, notices, relayPeers::recordRejection)
     private val edgeServer =
-        EdgeServer(vertx, state, protocol, targetExchange, PeerRelay(pool, notices), pool.memory, forwarder, plannedStop, clock, scope)
+        EdgeServer(vertx, state, protocol, targetExchange, relay, pool.memory, forwarder, plannedStop, clock, scope)
 
     /** Whether this entry VM has loaded the store's records and is not leaving, so that callers may be sent to it. */
     val isReady: Boolean get() = state.isLoaded && !plannedStop.hasBegun
--- a/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/PeerRelay.kt
+++ b/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/PeerRelay.kt
@@ -17,10 +17,15 @@
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
-/** Relays requests to peers over their own addresses, as ordinary HTTP requests with the [RelayTerms] in a header. */
+/**
+ * Relays requests to peers over their own addresses, as ordinary HTTP requests with the [RelayTerms] in a header.
+ *
+ * @param onRejection is called with a peer whose release does not relay.
+ */
 internal class PeerRelay(
     private val pool: OriginPool,
     private val notices: TargetNotices,
+    private val onRejection: (FleetMember) -> Unit = {},
 ) {
     /** Has [peer] serve [request]; what the peer says of its own is told apart from a target's answer by [CallHeaders.RELAY]. */
     suspend fun relay(
@@ -50,7 +55,10 @@
                 return ForwardOutcome.Answered(edgeReply, null)
             }
             edgeReply.rest?.abandon()
-            if (headers.contains(CallHeaders.RELAY)) outcomeOf(headers) else ForwardRequest.UNAVAILABLE_PEER
+            if (headers.contains(CallHeaders.RELAY)) return outcomeOf(headers)
+            // Other statuses may concern this request alone, such as one whose head is too large with the terms in it.
+            if (edgeReply.status == NOT_FOUND) onRejection(peer)
+            ForwardRequest.UNAVAILABLE_PEER
         } catch (_: OriginException) {
             ForwardOutcome.Unknown(ResultCode.ANSWER_TRUNCATED)
         }
@@ -79,6 +87,7 @@
         const val NOT_ANSWERED = "not-answered"
 
         private const val PARTS = 3
+        private const val NOT_FOUND = 404
 
         /** The value of [CallHeaders.RELAY] in a request. */
         fun format(terms: RelayTerms): String = "${terms.from} ${terms.elapsed.inWholeMilliseconds} ${terms.attempts}"
--- a/goldcrestquay-http/src/test/kotlin/dev/goldcrestquay/http/edge/EarlierRelayTest.kt
+++ b/goldcrestquay-http/src/test/kotlin/dev/goldcrestquay/http/edge/EarlierRelayTest.kt
@@ -18,6 +18,8 @@
 /** The values of the relay header that an earlier release wrote: the terms, an answer, and a refusal by the peer. */
 class EarlierRelayTest {
     private val server = ScriptedServer()
+    private val request = EdgeRequest("r", "GET", "/", emptyList(), ByteArray(0))
+    private val rejections = mutableListOf<FleetMember>()
 
     @AfterEach
     fun close() = server.close()
@@ -27,10 +29,21 @@
     fun `a peer of a release before the relay has not run a request, so that another peer may`() =
         server.test({ socket, _ -> socket.send("HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n") }) {
             val peer = FleetMember("vm-2", 1, "north", server.address, server.address, true)
-            val request = EdgeRequest("r", "GET", "/", emptyList(), ByteArray(0))
-            val relay = PeerRelay(server.pool, TargetNotices({ Duration.ZERO }))
+            val relay = PeerRelay(server.pool, TargetNotices({ Duration.ZERO }), rejections::add)
             val outcome = withTimeoutOrNull(2.seconds) { relay.relay(request, peer, RelayTerms("vm-1", Duration.ZERO, 1)) }
             outcome.shouldBeInstanceOf<ForwardOutcome.NotRun>().code shouldBe ResultCode.NOT_READY
+            rejections shouldBe listOf(peer)
+        }
+
+    /** A release that relays can reject one request so too, and goes on serving the others. */
+    @Test
+    fun `a peer that rejects one request as too large is asked for others`() =
+        server.test({ socket, _ -> socket.send("HTTP/1.1 431 Request Header Fields Too Large\r\nContent-Length: 0\r\n\r\n") }) {
+            val peer = FleetMember("vm-2", 1, "north", server.address, server.address, true)
+            val relay = PeerRelay(server.pool, TargetNotices({ Duration.ZERO }), rejections::add)
+            val outcome = relay.relay(request, peer, RelayTerms("vm-1", Duration.ZERO, 1))
+            outcome.shouldBeInstanceOf<ForwardOutcome.NotRun>()
+            rejections shouldBe emptyList()
         }
 
     @Test
--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/routing/Relay.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/routing/Relay.kt
@@ -23,19 +23,31 @@
     private val members: FleetMembers,
     private val random: Random,
 ) {
+    /** The members that do not relay, by name and incarnation. */
+    private val withoutRelay = HashSet<Pair<String, Long>>()
+
     /** The name of this entry VM. */
     public val self: String get() = members.self.name
 
     /**
-     * The peers that accept callers and reach targets, in the order in which they are to be asked.
+     * The peers that accept callers, reach targets and are not known to be unable to relay, in the order in which they are to be asked.
      *
      * Those of the same data centre come first, unless most of it is cut off: the few that are left would get the requests of all.
      */
     public fun candidates(): List<FleetMember> {
         val dataCentre = members.self.dataCentre
-        val usable = members.alive.filter { it.name != self && it.accepting && it.reachesTargets }.shuffled(random)
+        val usable = members.alive.filter { it.name != self && it.accepting && it.reachesTargets && !isWithoutRelay(it) }.shuffled(random)
         val (nearby, distant) = usable.partition { it.dataCentre == dataCentre }
         val isMostlyReaching = nearby.size * 2 >= members.alive.count { it.dataCentre == dataCentre }
         return if (isMostlyReaching) nearby + distant else usable
     }
+
+    /** Records that [peer] runs a release that does not relay; it is asked again only after it has restarted. */
+    public fun recordRejection(peer: FleetMember) {
+        val present = members.alive.mapTo(HashSet()) { it.name to it.incarnation }
+        withoutRelay.retainAll(present)
+        withoutRelay += peer.name to peer.incarnation
+    }
+
+    private fun isWithoutRelay(peer: FleetMember): Boolean = withoutRelay.isNotEmpty() && (peer.name to peer.incarnation) in withoutRelay
 }
