Keep a member that another peer still observes, whatever it says of it

Cause: when a peer no longer observes a member, the member is kept if a recent report of another peer names it; but the whole member was compared, so one that had changed whether it accepts callers or reaches targets meanwhile left the list until its next heartbeat. Change: only its name and incarnation are compared. Result: FleetMembersTest "a member that one peer no longer observes stays ..." failed before (vm-2 is gone from the list) and passes.

--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/machine/FleetMembers.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/machine/FleetMembers.kt
@@ -30,7 +30,10 @@
     private class Report(
         val members: List<FleetMember>,
         val receivedAt: Duration,
-    )
+    ) {
+        /** Whether the peer observes the same process as [member], whatever it last heard of it. */
+        fun names(member: FleetMember): Boolean = members.any { it.name == member.name && it.incarnation == member.incarnation }
+    }
 
     /** The version of the list in which a member last changed; [member] is null once it was removed. */
     private class Entry(
@@ -128,8 +131,7 @@
         val names = members.mapTo(HashSet()) { it.name }
         val missing = previous.filter { it.name !in names && heartbeats[it.name]?.via == address }
         val since = clock() - RECENT_HEARTBEAT_AGE
-        val observers =
-            missing.map { member -> reports.entries.firstOrNull { it.value.receivedAt > since && member in it.value.members }?.key }
+        val observers = missing.map { member -> reports.entries.firstOrNull { it.value.receivedAt > since && it.value.names(member) }?.key }
         missing.zip(observers).forEach { (member, observer) ->
             if (observer == null) {
                 heartbeats.remove(member.name)
