Have members say which version of the messages they read

Change: a heartbeat has formatVersion, 1 in this release and 0 where it is absent; FleetMembers.formatVersion is the lowest of all members, and FactsChanged logs it. A release that relays a heartbeat drops the field, so a member that was heard directly keeps its own.

--- a/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/DecisionLog.kt
+++ b/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/DecisionLog.kt
@@ -203,6 +203,8 @@
                 put("sequence", event.sequence)
                 put("plan", event.planVersion)
                 put("targets", event.targets)
+                put("members", event.members)
+                put("format_version", event.formatVersion)
             }
             is FleetEvent.RolloutStep -> {
                 put("service", event.service)
--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/machine/FleetExchange.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/machine/FleetExchange.kt
@@ -14,6 +14,8 @@
  * @property peerAddress where other entry VMs send exchange requests.
  * @property accepting whether new callers may be sent to this entry VM.
  * @property reachesTargets whether this entry VM reaches targets, so that others may relay requests to it.
+ * @property formatVersion the latest version of the messages and records of entry VMs that this one reads; 0 from a release before the
+ * versions.
  */
 @Serializable
 public data class FleetMember(
@@ -24,7 +26,13 @@
     val peerAddress: SocketAddress,
     val accepting: Boolean,
     val reachesTargets: Boolean = true,
-)
+    val formatVersion: Int = 0,
+) {
+    public companion object {
+        /** The version that this release reads; a release that adds a name or a meaning which earlier ones would misread increases it. */
+        public const val PRESENT_FORMAT_VERSION: Int = 1
+    }
+}
 
 /**
  * How far an entry VM has replicated the records and the member list of one process.
--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/machine/FleetMembers.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/machine/FleetMembers.kt
@@ -75,6 +75,9 @@
     public var largestCount: Int = 1
         private set
 
+    /** The latest version of messages and records that all members read; no message may hold what only a later one defines. */
+    public val formatVersion: Int get() = alive.minOf { it.formatVersion }
+
     init {
         refresh()
     }
@@ -155,10 +158,15 @@
         if (known != null && known.member.incarnation > member.incarnation) return false
         val isDirect = via == member.peerAddress
         if (known != null && known.isDirect && !isDirect && clock() - known.receivedAt < RECENT_HEARTBEAT_AGE) return false
-        heartbeats[member.name] = Heartbeat(member, clock(), via)
-        return known?.member != member
+        val merged = if (known == null) member else member.withFormatVersionOf(known.member)
+        heartbeats[member.name] = Heartbeat(merged, clock(), via)
+        return known?.member != merged
     }
 
+    /** A release that does not know the version passes the member on without it; a process reads the same one as long as it runs. */
+    private fun FleetMember.withFormatVersionOf(known: FleetMember): FleetMember =
+        if (incarnation == known.incarnation && formatVersion < known.formatVersion) copy(formatVersion = known.formatVersion) else this
+
     /** The observed members, without those whose last heartbeat arrived from [peer]. */
     public fun observedExceptVia(peer: SocketAddress): List<FleetMember> = heartbeats.values.filter { it.via != peer }.map { it.member }
 
--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/machine/FleetReplicator.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/machine/FleetReplicator.kt
@@ -469,7 +469,10 @@
         signalledRollouts = rollouts
         val hasChanges = current.sequence != signalledPosition.sequence || current.membersVersion != signalledPosition.membersVersion
         signalledPosition = current
-        if (hasChanges) report(FleetEvent.FactsChanged(state.sequence, state.routes?.plan?.version, state.targets().size))
+        if (hasChanges) {
+            val planVersion = state.routes?.plan?.version
+            report(FleetEvent.FactsChanged(state.sequence, planVersion, state.targets().size, members.alive.size, members.formatVersion))
+        }
         changeSignal.complete(Unit)
         changeSignal = CompletableDeferred()
     }
--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/machine/StoreReader.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/machine/StoreReader.kt
@@ -339,11 +339,13 @@
         val reachesTargets: Boolean,
     ) : FleetEvent
 
-    /** Records or the member list changed. */
+    /** Records or the member list changed; all of the [members] read messages of the [formatVersion]. */
     public data class FactsChanged(
         val sequence: Long,
         val planVersion: Long?,
         val targets: Int,
+        val members: Int,
+        val formatVersion: Int,
     ) : FleetEvent
 
     /** A rollout changed its phase, or its verdict could not be written. */
