Roll back sooner a version that turns slow under all traffic

Its slow answers were compared with all answers since the shift, of which the first half second was fast, and took up to half a second to reach the leader. Change: with all traffic the slow answers of the last 0.5 s count by themselves; from the ramp on entry VMs report every 0.1 s (0.25 before) and the leader judges every 0.05 s (0.1 before). RolloutTest "slow answers of the last moment ..." fails without the comparison.

--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/machine/FleetReplicator.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/machine/FleetReplicator.kt
@@ -491,10 +491,10 @@
         val HOLD = 500.milliseconds
 
         /** The same while a version that may be bad gets more than its trial's share, so that the leader soon has the evidence of all members. */
-        val SHIFTING_HOLD = 250.milliseconds
+        val SHIFTING_HOLD = 100.milliseconds
 
         /** How often the leader judges rollouts during that time. */
-        val SHIFT_JUDGEMENT_INTERVAL = 100.milliseconds
+        val SHIFT_JUDGEMENT_INTERVAL = 50.milliseconds
 
         /** The timeout of a request beyond its hold: round trips, and a machine that is busy for a moment. */
         val REPLY_MARGIN = 250.milliseconds
--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/move/RolloutController.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/move/RolloutController.kt
@@ -40,7 +40,22 @@
         var since: Duration,
         var countsBefore: List<VersionCount> = emptyList(),
         var traffic: TrafficSample? = null,
-    )
+    ) {
+        private val samples = ArrayDeque<Pair<Duration, List<VersionCount>>>()
+
+        /** Adds [counts] to the samples, and returns those of [RECENT_TIME] ago, or from when the share last rose if that is later. */
+        fun sample(
+            now: Duration,
+            counts: List<VersionCount>,
+        ): List<VersionCount> {
+            samples.addLast(now to counts)
+            while (samples.size > 1 && samples[1].first <= now - RECENT_TIME) samples.removeFirst()
+            val (at, earlier) = samples.first()
+            return if (at > now - RECENT_TIME) countsBefore else earlier
+        }
+
+        fun clearSamples() = samples.clear()
+    }
 
     private class TrafficSample(
         val requests: Long,
@@ -107,6 +122,7 @@
                 hasTargets = state.targets().any { it.target.service == service && it.target.version == rollout.order.targetVersion },
                 counts = counts,
                 countsBefore = current.countsBefore,
+                countsRecently = if (current.phase == RolloutPhase.SHIFTED) current.sample(now, counts) else current.countsBefore,
                 memberCount = memberCount,
             )
         val step = judgeRollout(view) ?: return
@@ -127,6 +143,7 @@
         current.share = step.share
         current.since = clock()
         current.countsBefore = counts
+        current.clearSamples()
         shareProgress()
     }
 
@@ -189,6 +206,9 @@
     }
 
     private companion object {
+        /** The time over which slow answers are counted anew while the new version gets all traffic. */
+        val RECENT_TIME = 500.milliseconds
+
         /** By this time after the order, all entry VMs have reported the requests that they counted before. */
         val TRAFFIC_SAMPLE_DELAY = 700.milliseconds
 
--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/move/RolloutJudgement.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/move/RolloutJudgement.kt
@@ -13,6 +13,7 @@
  * @property hasTargets whether any target runs the new version.
  * @property counts the answers of all versions of the service.
  * @property countsBefore the [counts] at the time when the new version's share last rose.
+ * @property countsRecently the [counts] a short time ago, not before the new version's share last rose.
  */
 public data class RolloutView(
     val order: RolloutOrder,
@@ -24,6 +25,7 @@
     val memberCount: Int,
     val share: Double = phase.share,
     val countsBefore: List<VersionCount> = emptyList(),
+    val countsRecently: List<VersionCount> = countsBefore,
 )
 
 /** The phase that a rollout is to enter, the reason for it, and the new version's share of the requests from then on. */
@@ -80,7 +82,10 @@
 /** Decides the next step of a rollout; null to wait. */
 public fun judgeRollout(view: RolloutView): RolloutDecision? {
     val (newCounts, oldCounts) = sumByRoute(view.counts).partition { it.version == view.order.targetVersion }
-    val reason = rollbackReason(newCounts, oldCounts) ?: rollbackReason(newCounts.since(view.countsBefore), oldCounts)
+    val reason =
+        rollbackReason(newCounts, oldCounts)
+            ?: rollbackReason(newCounts.since(view.countsBefore), oldCounts)
+            ?: manySlowAnswers(comparisons(newCounts.since(view.countsRecently), oldCounts))
     if (reason != null) return RolloutDecision(RolloutPhase.ROLLED_BACK, reason)
     val elapsedShare = view.timeSinceOrder / view.order.duration
     val answered = newCounts.sumOf { it.answered }
@@ -109,14 +114,19 @@
     if (failed > TOLERATED_EXCESS_FAILURES + OLD_FAILURE_RATE_FACTOR * oldFailureRate * answered) {
         return "$failed of $answered answers failed; the old version's failure rate is $oldFailureRate"
     }
-    val comparisons =
-        newCounts.mapNotNull { newCount ->
-            val oldCount = oldCounts.filter { it.route == newCount.route }.reduceOrNull(VersionCount::plus)
-            oldCount?.takeIf { it.succeeded >= MINIMUM_COMPARED_ANSWERS }?.let { RouteComparison(newCount, it) }
-        }
+    val comparisons = comparisons(newCounts, oldCounts)
     return comparisons.firstNotNullOfOrNull { it.slowerMean() } ?: manySlowAnswers(comparisons)
 }
 
+private fun comparisons(
+    newCounts: List<VersionCount>,
+    oldCounts: List<VersionCount>,
+): List<RouteComparison> =
+    newCounts.mapNotNull { newCount ->
+        val oldCount = oldCounts.filter { it.route == newCount.route }.reduceOrNull(VersionCount::plus)
+        oldCount?.takeIf { it.succeeded >= MINIMUM_COMPARED_ANSWERS }?.let { RouteComparison(newCount, it) }
+    }
+
 /** The answers of the new version on one route, and those of all other versions on it. */
 private class RouteComparison(
     private val newCount: VersionCount,
--- a/goldcrestquay/src/test/kotlin/dev/goldcrestquay/move/RolloutTest.kt
+++ b/goldcrestquay/src/test/kotlin/dev/goldcrestquay/move/RolloutTest.kt
@@ -86,6 +86,26 @@
         judgeRollout(view.copy(countsBefore = listOf(old, trial)))?.phase shouldBe RolloutPhase.ROLLED_BACK
     }
 
+    /** The load pattern of a version that turns slow some time after it got all traffic; what it answered before hides the first of them. */
+    @Test
+    fun `slow answers of the last moment count by themselves`() {
+        val old = count("v1", 400)
+        val shifted = count("v2", 300)
+        listOf(
+            Triple(300L, 0L, null),
+            Triple(100L, 4L, null),
+            Triple(100L, 12L, null),
+            Triple(100L, 40L, RolloutPhase.ROLLED_BACK),
+        ).forEach { (fast, slow, phase) ->
+            val latencies = mapOf(latencyBucket(160.0) to 300 + fast, latencyBucket(1280.0) to slow)
+            val view = view(old, shifted.copy(answered = 300 + fast, latencies = latencies), phase = RolloutPhase.SHIFTED)
+            withClue("$fast fast and $slow slow ones since then") {
+                judgeRollout(view) shouldBe null
+                judgeRollout(view.copy(countsRecently = listOf(old, shifted)))?.phase shouldBe phase
+            }
+        }
+    }
+
     /**
      * The load pattern of a bad version that slows one route eightfold, only under load: its trial looks well, and after the shift its
      * slow answers arrive later than the version must have been rolled back.
