Part RequestForwarder

Change: RouteStatistics has the moving averages of routes, AttemptRecorder what the result of an attempt tells; calls and their order are the same.

--- a/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/EdgeServer.kt
+++ b/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/EdgeServer.kt
@@ -179,13 +179,8 @@
                     bodyBytes = body.size,
                     arrivedAt = arrivedAt,
                     deadline = deadline,
-                    send = { dispatch -> targets.send(outgoing, dispatch).also { if (it is SendResult.Replied) keep(it.reply) } },
-                    relay = {
-                        peer,
-                        terms,
-                        ->
-                        relay.relay(outgoing, peer, terms).also { if (it is ForwardOutcome.Answered) keep(it.reply) }
-                    },
+                    send = { targets.send(outgoing, it).also(::keep) },
+                    relay = { peer, terms -> relay.relay(outgoing, peer, terms).also(::keep) },
                     origin = origin,
                     computeFingerprint = { requestFingerprint(outgoing.method, request.getHeader("host").orEmpty(), outgoing.uri, body) },
                 )
@@ -198,6 +193,14 @@
             }
         }
 
+        private fun keep(result: SendResult<EdgeReply>) {
+            if (result is SendResult.Replied) keep(result.reply)
+        }
+
+        private fun keep(outcome: ForwardOutcome<EdgeReply>) {
+            if (outcome is ForwardOutcome.Answered) keep(outcome.reply)
+        }
+
         private fun keep(reply: EdgeReply) {
             reply.rest?.let { partialReplies += it }
         }
--- a/goldcrestquay-platform-standins/src/main/kotlin/dev/goldcrestquay/standins/upgrade/UpgradeCallers.kt
+++ b/goldcrestquay-platform-standins/src/main/kotlin/dev/goldcrestquay/standins/upgrade/UpgradeCallers.kt
@@ -72,21 +72,12 @@
         host: String,
         kind: String,
         id: String,
-    ): Int? =
-        try {
+    ): Int? {
+        val method = if (kind in READING_KINDS) HttpMethod.GET else HttpMethod.POST
+        return try {
             deployment.client
-                .request(
-                    if (kind in
-                        READING_KINDS
-                    ) {
-                        HttpMethod.GET
-                    } else {
-                        HttpMethod.POST
-                    },
-                    deployment.address("entry-0").firstPort,
-                    host,
-                    "/$kind/x",
-                ).putHeader("Host", "shop.example")
+                .request(method, deployment.address("entry-0").firstPort, host, "/$kind/x")
+                .putHeader("Host", "shop.example")
                 .putHeader("Goldcrestquay-Request-Id", id)
                 .putHeader("Goldcrestquay-Deadline-Ms", DEADLINE.inWholeMilliseconds.toString())
                 .sendBuffer(Buffer.buffer(if (kind in READING_KINDS) "" else id))
@@ -97,6 +88,7 @@
         } catch (_: VertxException) {
             null
         }
+    }
 
     private companion object {
         const val OK = 200
--- a/goldcrestquay-platform-standins/src/main/kotlin/dev/goldcrestquay/standins/upgrade/UpgradeCheck.kt
+++ b/goldcrestquay-platform-standins/src/main/kotlin/dev/goldcrestquay/standins/upgrade/UpgradeCheck.kt
@@ -118,9 +118,7 @@
         }
         for (run in record.runs) {
             val since = deployment.leavingSince[run.target] ?: continue
-            if (run.at >
-                since + CHANGE_TIME
-            ) {
+            if (run.at > since + CHANGE_TIME) {
                 violation("${run.request} ran at ${run.target}, ${run.at - since} after it said that it leaves")
             }
         }
--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/routing/RequestForwarder.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/routing/RequestForwarder.kt
@@ -53,8 +53,8 @@
     private val random: Random,
     private val report: (ForwardEvent) -> Unit,
 ) {
-    private val serviceTimes = HashMap<String, Duration>()
-    private val responseBytes = HashMap<String, Double>()
+    private val statistics = RouteStatistics()
+    private val recorder = AttemptRecorder(tables, statistics, report)
     private val callerAges = CallerAgeEstimator()
 
     /** Forwards [request] and returns its outcome; waits for the first load of the shared state if necessary. */
@@ -142,12 +142,12 @@
         private val objectiveLeft: Duration get() = (route.latencyObjective ?: timeLimit) - callerAge - (clock() - request.arrivedAt)
 
         /** The bytes that the request and its response are expected to move between this entry VM and the target. */
-        private val transferBytes = request.bodyBytes + (responseBytes[route.name] ?: 0.0).toInt()
+        private val transferBytes = request.bodyBytes + statistics.responseBytes(route.name)
 
         /** The expected factor below which no further target is probed; higher for large bodies, to keep them in their data centre. */
         private fun acceptableFactor(): Double {
             if (transferBytes < LARGE_BODY_BYTES) return TargetSampler.ACCEPTABLE_FACTOR
-            return maxOf(TargetSampler.ACCEPTABLE_FACTOR, objectiveLeft / serviceTime(route.name) * LOCAL_OBJECTIVE_SHARE)
+            return maxOf(TargetSampler.ACCEPTABLE_FACTOR, objectiveLeft / statistics.serviceTime(route.name) * LOCAL_OBJECTIVE_SHARE)
         }
 
         suspend fun run(): ForwardOutcome<Reply> {
@@ -173,7 +173,7 @@
                     tried += chosen.candidate.target.id
                     continue
                 }
-                val expected = serviceTime(route.name) * chosen.expectedFactor
+                val expected = statistics.serviceTime(route.name) * chosen.expectedFactor
                 val view = AdmissionView(expected, chosen.excess, objectiveLeft, remaining, route.priority)
                 val admission = admit(view)
                 if (admission is Admission.Refused) return combineOutcomes(last, refuse(chosen, view, admission.retryAfter))
@@ -269,11 +269,10 @@
             expected: Duration,
         ): SendOutcome<Reply> {
             val target = chosen.candidate.target
-            val health = chosen.candidate.health
             tried += target.id
             tables.targets.recordSend(chosen.candidate)
             val crashesBefore = if (tables.crashes.isEmpty) 0 else tables.crashes.crashes(request.fingerprint)
-            val tickets = Tickets(health.recordSend(expected), tables.evidence.recordSend(target, route.name))
+            val tickets = recorder.recordSend(chosen.candidate, route.name, expected)
             val started = clock()
             val left = remaining
             report(sentEvent(number, chosen, left))
@@ -285,33 +284,15 @@
                     ?: SendResult.Broken(ResultCode.DEADLINE_EXCEEDED)
             } finally {
                 request.isCancellable = true
-                if (result == null) {
-                    health.recordInconclusive(tickets.health)
-                    tables.evidence.recordInconclusive(tickets.evidence)
-                }
+                if (result == null) recorder.recordInconclusive(chosen.candidate, tickets)
             }
             val took = clock() - started
             val crashCount = withContext(NonCancellable) { recordCrash(target, result, crashesBefore) }
             report(ForwardEvent.AttemptEnded(request.id, target, resultName(result), took, crashCount))
-            recordContact(target, result)
-            recordResult(chosen, tickets, result, took)
-            recordRequestLimit(chosen.candidate, result)
+            recorder.recordResult(request.id, route.name, chosen, tickets, result, took)
             return outcomeOf(target, result)
         }
 
-        private fun recordContact(
-            target: RegisteredTarget,
-            result: SendResult<Reply>,
-        ) {
-            val isUnanswered =
-                when (result) {
-                    is SendResult.Replied -> false
-                    is SendResult.Refused -> if (result.refusal == Refusal.CONNECTION_REFUSED) true else return
-                    is SendResult.Broken -> if (result.code == ResultCode.CONNECTION_LOST) true else return
-                }
-            tables.reach.recordContact(target.id, !isUnanswered)
-        }
-
         /** The target may have left, or this entry VM's stop come too near, while the target was probed or a connection opened to it. */
         private suspend fun mayStillGetRequests(target: RegisteredTarget): Boolean {
             tables.refreshRecords()
@@ -334,48 +315,6 @@
             return CrashCount(request.fingerprint, crashes.crashes(request.fingerprint))
         }
 
-        private fun recordResult(
-            chosen: ChosenTarget<Connection>,
-            tickets: Tickets,
-            result: SendResult<Reply>,
-            took: Duration,
-        ) {
-            val health = chosen.candidate.health
-            when (result) {
-                is SendResult.Replied -> {
-                    if (result.failed) health.recordFailure(tickets.health) else health.recordSuccess(tickets.health)
-                    if (!result.failed) recordServiceTime(route.name, took / chosen.expectedFactor.coerceAtLeast(1.0))
-                    if (!result.failed) recordResponseBytes(route.name, result.bodyBytes)
-                    tables.evidence.recordAnswer(tickets.evidence, result.failed)
-                }
-                is SendResult.Refused -> {
-                    tables.evidence.recordInconclusive(tickets.evidence)
-                    if (result.refusal == Refusal.WITHDRAWN) return health.recordInconclusive(tickets.health)
-                    health.recordShed(tickets.health)
-                    if (result.refusal != Refusal.SHEDDING) health.recordUnreachable()
-                }
-                is SendResult.Broken -> {
-                    health.recordFailure(tickets.health)
-                    tables.evidence.recordAnswer(tickets.evidence, failed = true)
-                }
-            }
-        }
-
-        /** Only answers of the target itself tell whether it names a limit. */
-        private fun recordRequestLimit(
-            candidate: TargetCandidate,
-            result: SendResult<Reply>,
-        ) {
-            val limit =
-                when (result) {
-                    is SendResult.Replied -> result.requestLimit
-                    is SendResult.Refused -> if (result.refusal == Refusal.SHEDDING) result.requestLimit else return
-                    is SendResult.Broken -> return
-                }
-            if (limit != candidate.health.requestLimit) report(ForwardEvent.RequestLimitChanged(request.id, candidate.target, limit))
-            candidate.health.recordRequestLimit(limit)
-        }
-
         private fun outcomeOf(
             target: RegisteredTarget,
             result: SendResult<Reply>,
@@ -419,29 +358,6 @@
             is SendResult.Broken -> result.code.name
         }
 
-    private fun serviceTime(route: String): Duration = serviceTimes[route] ?: INITIAL_SERVICE_TIME
-
-    private fun recordServiceTime(
-        route: String,
-        took: Duration,
-    ) {
-        serviceTimes[route] = serviceTime(route) * (1 - SERVICE_TIME_SMOOTHING) + took * SERVICE_TIME_SMOOTHING
-    }
-
-    private fun recordResponseBytes(
-        route: String,
-        bytes: Long,
-    ) {
-        val known = responseBytes[route] ?: bytes.toDouble()
-        responseBytes[route] = known * (1 - RESPONSE_BYTES_SMOOTHING) + bytes * RESPONSE_BYTES_SMOOTHING
-    }
-
-    /** Identifies one attempt in the health of its target and in the evidence of its version. */
-    private class Tickets(
-        val health: Long,
-        val evidence: Long,
-    )
-
     private class SendOutcome<Reply>(
         val outcome: ForwardOutcome<Reply>,
         val mayRetry: Boolean,
@@ -450,15 +366,6 @@
     )
 
     private companion object {
-        /** The service time assumed for a route before its first answer. */
-        val INITIAL_SERVICE_TIME = 150.milliseconds
-
-        /** The weight of the newest answer in the moving average of a route's service time. */
-        const val SERVICE_TIME_SMOOTHING = 0.1
-
-        /** The weight of the newest answer in the moving average of the size of a route's responses, which vary several times. */
-        const val RESPONSE_BYTES_SMOOTHING = 0.05
-
         /** The shortest time left with which a request is sent: a network round trip. */
         val MINIMUM_TIME_LEFT = 15.milliseconds
 
--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/routing/TargetTable.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/routing/TargetTable.kt
@@ -79,15 +79,8 @@
         rebuildIfStale()
         val known = byService[service].orEmpty()
         val versions = versionFilter(service, known)
-        val left =
-            known
-                .map { it.target }
-                .filter {
-                    versions(
-                        it.version,
-                    ) &&
-                        !notices.isLeaving(it.id)
-                }.minOfOrNull { notices.silenceLeft(it.id) }
+        val staying = known.map { it.target }.filter { versions(it.version) && !notices.isLeaving(it.id) }
+        val left = staying.minOfOrNull { notices.silenceLeft(it.id) }
         return left?.takeIf { it > Duration.ZERO }
     }
 
