Measure what the checks of targets' notices cost at each choice

Change: bin/capacity measures TargetTable's candidates and the check before sending, with nothing said and with one target in ten that says something.

--- a/goldcrestquay-benchmarks/src/main/kotlin/dev/goldcrestquay/benchmarks/capacity/CapacityMain.kt
+++ b/goldcrestquay-benchmarks/src/main/kotlin/dev/goldcrestquay/benchmarks/capacity/CapacityMain.kt
@@ -31,7 +31,7 @@
     val seed by parser.option(ArgType.Int, "seed", "s", "The seed of the simulated fleets").default(1)
     val folder by parser.option(ArgType.String, "report", "r", "The folder to write the report to").default("reports/capacity")
     parser.parse(arguments)
-    val points = controlPoints(seed.toLong()) + choicePoints() + placementPoints() + memoryPoints()
+    val points = controlPoints(seed.toLong()) + choicePoints() + platformChoicePoints() + placementPoints() + memoryPoints()
     points.groupBy { it.slope }.forEach { (_, line) -> printSlope(line) }
     val reportFolder = File(folder).apply { mkdirs() }
     File(reportFolder, "report.json").writeText(JsonDocument.write(points, ListSerializer(CapacityPoint.serializer())))
