Measure what entry VMs could gain by telling each other that a target leaves

Change: NoticedTargetTest counts the requests that entry VMs send to a leaving target before they have heard it from the target. The target still answers these, so the exchange is left as it is.

--- a/goldcrestquay/src/test/kotlin/dev/goldcrestquay/routing/NoticedTargetTest.kt
+++ b/goldcrestquay/src/test/kotlin/dev/goldcrestquay/routing/NoticedTargetTest.kt
@@ -49,7 +49,10 @@
     /** The targets that answer probes so late that a request is placed without their answers. */
     private val lateProbes = mutableSetOf<String>()
 
-    private fun TestScope.forwarder(targets: List<RegisteredTarget>): RequestForwarder<String, String> {
+    private fun TestScope.forwarder(
+        targets: List<RegisteredTarget>,
+        probesPerSecond: Double = 60.0,
+    ): RequestForwarder<String, String> {
         val clock = { currentTime.milliseconds }
         state = SharedState(clock)
         notices = TargetNotices(clock)
@@ -68,7 +71,7 @@
             saidToProbe[target.id]?.let { notices.record(target.id, it) }
             ProbeResult(LoadSample(0, 0, 4, 1.0, true), target.id)
         }
-        val sampler = TargetSampler(clock, random, backgroundScope, ProbeBudget({ 60.0 }, clock) { 1 }, probe) { released += it }
+        val sampler = TargetSampler(clock, random, backgroundScope, ProbeBudget({ probesPerSecond }, clock) { 1 }, probe) { released += it }
         val tables =
             ForwarderTables(
                 state,
@@ -98,6 +101,45 @@
         }
     }) { 1 }
 
+    /** Sends [request] every [interval] to each of [ENTRY_VMS] entry VMs that hear of a leaving target by its own answers alone. */
+    private suspend fun TestScope.requestsToLeavingTarget(
+        probesPerSecond: Double,
+        interval: Duration,
+    ): Int {
+        sentTo.clear()
+        val targets = List(10) { registeredTarget("t$it") }
+        repeat(ENTRY_VMS) {
+            val forwarder = forwarder(targets, probesPerSecond)
+            val heard = notices
+            saidToProbe["t0"] = TargetNotice(isLeaving = true)
+            repeat(40) {
+                val request =
+                    request { target ->
+                        delay(RUN_TIME)
+                        if (target.id == "t0") heard.record("t0", TargetNotice(isLeaving = true))
+                        SendResult.Replied("ok")
+                    }
+                launch { forwarder.forward(request) }
+                delay(interval)
+            }
+            delay(1.seconds)
+        }
+        return sentTo.count { it == "t0" }
+    }
+
+    /** Why entry VMs do not tell each other that a target leaves: there is nearly nothing left to gain. */
+    @Test
+    fun `an entry VM that has not heard that a target leaves sends it what is under way until the first answer`() =
+        runTest {
+            withClue("each request is preceded by probes") { requestsToLeavingTarget(60.0, 400.milliseconds) shouldBe 0 }
+            withClue("no probes, requests one after the other") {
+                requestsToLeavingTarget(0.0, 400.milliseconds) shouldBeLessThanOrEqual ENTRY_VMS
+            }
+            withClue("no probes, some under way at a time") {
+                requestsToLeavingTarget(0.0, 40.milliseconds) shouldBeLessThanOrEqual ENTRY_VMS * (RUN_TIME / 40.milliseconds).toInt()
+            }
+        }
+
     private val twoTargets = listOf("leaving", "other").map { registeredTarget(it) }
 
     /** Guards against requests to a target that has said that it leaves while the store is away or its records say nothing of it. */
@@ -271,5 +313,9 @@
 
     private companion object {
         const val CALLERS = 200
+        const val ENTRY_VMS = 20
+
+        /** The time that a target takes for a request. */
+        val RUN_TIME = 160.milliseconds
     }
 }
