Keep the platform's words of the upgrade check in the stand-ins' platform package

Cause: UpgradeCallers and UpgradeDeployment wrote the platform's headers and keys of the store, outside a platform package; four programs repeated them. Change: DeploymentRecords writes and reads the store's records, CallerHeaders sets what callers send; the demo, the start cost, the training run and the upgrade check use them.

--- a/goldcrestquay-platform-standins/src/main/kotlin/dev/goldcrestquay/standins/platform/DemoMain.kt
+++ b/goldcrestquay-platform-standins/src/main/kotlin/dev/goldcrestquay/standins/platform/DemoMain.kt
@@ -68,18 +68,18 @@
     /** Runs all phases; returns whether an order ran more than once or too many calls failed. */
     suspend fun run(): Boolean {
         store.start()
-        store.write("keyed.op", "config", DeploymentDocuments.plan(version = 1))
+        store.writePlan(DeploymentDocuments.plan(version = 1))
         targets.forEach {
             it.start()
-            store.write("keyed.servers", it.id, it.heartbeat("shop"))
+            store.writeTarget(it.id, it.heartbeat("shop"))
         }
         writeSettings()
         withTimeout(START_TIMEOUT) { while (!hosts.all { isReady(client, firstPort + READY_PORT_OFFSET, it) }) delay(READY_POLL_INTERVAL) }
         println("%-34s %7s %9s %8s %7s %7s %7s".format("while", "asked", "answered", "refused", "failed", "p50 ms", "p99 ms"))
         var failed = runPhase("nothing changes")
-        store.write("keyed.op", "config", DeploymentDocuments.plan(version = 2, timeout = "1500ms"))
+        store.writePlan(DeploymentDocuments.plan(version = 2, timeout = "1500ms"))
         failed += runPhase("a new plan comes into force")
-        store.write("keyed.servers", targets[0].id, targets[0].heartbeat("shop", state = "draining", sequence = 2))
+        store.writeTarget(targets[0].id, targets[0].heartbeat("shop", state = "draining", sequence = 2))
         failed += runPhase("a target drains")
         targets[1].reportedTimePercent = SLOW_TARGET_PERCENT
         failed += runPhase("a target's machine is slowed")
@@ -153,9 +153,7 @@
             statusOf {
                 client
                     .post(firstPort, address.substringBefore(':'), "/$kind/x")
-                    .putHeader("Host", "shop.example")
-                    .putHeader("Goldcrestquay-Request-Id", "call-$number-$attempt")
-                    .putHeader("Goldcrestquay-Deadline-Ms", "$CALL_TIMEOUT_MILLISECONDS")
+                    .putCallerHeaders("call-$number-$attempt", CALL_TIMEOUT_MILLISECONDS.milliseconds)
                     .timeout(CALL_TIMEOUT_MILLISECONDS)
                     .sendBuffer(Buffer.buffer("order"))
                     .coAwait()
--- a/goldcrestquay-platform-standins/src/main/kotlin/dev/goldcrestquay/standins/platform/StartCostMain.kt
+++ b/goldcrestquay-platform-standins/src/main/kotlin/dev/goldcrestquay/standins/platform/StartCostMain.kt
@@ -29,6 +29,8 @@
 private val REQUEST_INTERVAL = 20.milliseconds
 private val IDLE_TIME = 10.seconds
 
+private val CALL_TIMEOUT = 3.seconds
+
 /** A part of a process's life whose processor time is measured. */
 private enum class StartPhase(
     val label: String,
@@ -52,11 +54,11 @@
     runBlocking {
         val store = StoreStandIn(vertx)
         store.start()
-        store.write("keyed.op", "config", DeploymentDocuments.plan(version = 1))
+        store.writePlan(DeploymentDocuments.plan(version = 1))
         repeat(TARGET_COUNT) { index ->
             val target = TargetStandIn(vertx, "i-$index")
             target.start()
-            store.write("keyed.servers", target.id, target.heartbeat("shop"))
+            store.writeTarget(target.id, target.heartbeat("shop"))
         }
         val measured = List(runs ?: DEFAULT_RUNS) { measure(WebClient.create(vertx), store.port, command) }
         printTable(measured)
@@ -100,9 +102,7 @@
     val isSafe = number % 2 == 0
     val request = if (isSafe) client.get(port, "127.0.0.1", "/safe/x") else client.post(port, "127.0.0.1", "/unsafe/x")
     request
-        .putHeader("Host", "shop.example")
-        .putHeader("Goldcrestquay-Request-Id", "start-cost-$number")
-        .putHeader("Goldcrestquay-Deadline-Ms", "3000")
+        .putCallerHeaders("start-cost-$number", CALL_TIMEOUT)
         .sendBuffer(Buffer.buffer(if (isSafe) "" else "order"))
         .coAwait()
 }
--- a/goldcrestquay-platform-standins/src/main/kotlin/dev/goldcrestquay/standins/platform/TrainingMain.kt
+++ b/goldcrestquay-platform-standins/src/main/kotlin/dev/goldcrestquay/standins/platform/TrainingMain.kt
@@ -34,11 +34,11 @@
     runBlocking {
         val store = StoreStandIn(vertx)
         store.start()
-        store.write("keyed.op", "config", DeploymentDocuments.plan(version = 1))
+        store.writePlan(DeploymentDocuments.plan(version = 1))
         repeat(TARGET_COUNT) { index ->
             val target = TargetStandIn(vertx, "i-$index")
             target.start()
-            store.write("keyed.servers", target.id, target.heartbeat("shop"))
+            store.writeTarget(target.id, target.heartbeat("shop"))
         }
         val firstPort = findFreePorts()
         val file = File(arguments.single())
@@ -98,9 +98,7 @@
     val kind = if (number % 2 == 0) "safe" else "unsafe"
     val request = if (number % 2 == 0) client.get(port, "127.0.0.1", "/$kind/x") else client.post(port, "127.0.0.1", "/$kind/x")
     request
-        .putHeader("Host", "shop.example")
-        .putHeader("Goldcrestquay-Request-Id", "training-$number")
-        .putHeader("Goldcrestquay-Deadline-Ms", "1000")
+        .putCallerHeaders("training-$number", 1.seconds)
         .sendBuffer(Buffer.buffer("order"))
         .coAwait()
 }
--- a/goldcrestquay-platform-standins/src/main/kotlin/dev/goldcrestquay/standins/upgrade/UpgradeCallers.kt
+++ b/goldcrestquay-platform-standins/src/main/kotlin/dev/goldcrestquay/standins/upgrade/UpgradeCallers.kt
@@ -1,5 +1,6 @@
 package dev.goldcrestquay.standins.upgrade
 
+import dev.goldcrestquay.standins.platform.putCallerHeaders
 import io.vertx.core.VertxException
 import io.vertx.core.buffer.Buffer
 import io.vertx.core.http.HttpMethod
@@ -77,9 +78,7 @@
         return try {
             deployment.client
                 .request(method, deployment.address("entry-0").firstPort, host, "/$kind/x")
-                .putHeader("Host", "shop.example")
-                .putHeader("Goldcrestquay-Request-Id", id)
-                .putHeader("Goldcrestquay-Deadline-Ms", DEADLINE.inWholeMilliseconds.toString())
+                .putCallerHeaders(id, DEADLINE)
                 .sendBuffer(Buffer.buffer(if (kind in READING_KINDS) "" else id))
                 .coAwait()
                 .statusCode()
--- a/goldcrestquay-platform-standins/src/main/kotlin/dev/goldcrestquay/standins/upgrade/UpgradeDeployment.kt
+++ b/goldcrestquay-platform-standins/src/main/kotlin/dev/goldcrestquay/standins/upgrade/UpgradeDeployment.kt
@@ -10,13 +10,14 @@
 import dev.goldcrestquay.standins.platform.StoreStandIn
 import dev.goldcrestquay.standins.platform.TargetStandIn
 import dev.goldcrestquay.standins.platform.findFreePorts
+import dev.goldcrestquay.standins.platform.orderRollout
+import dev.goldcrestquay.standins.platform.verdict
+import dev.goldcrestquay.standins.platform.writePlan
+import dev.goldcrestquay.standins.platform.writeTarget
 import io.vertx.core.Vertx
 import io.vertx.ext.web.client.WebClient
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.withTimeout
-import kotlinx.serialization.json.Json
-import kotlinx.serialization.json.jsonObject
-import kotlinx.serialization.json.jsonPrimitive
 import java.io.File
 import java.util.concurrent.ConcurrentHashMap
 import kotlin.time.Duration
@@ -64,7 +65,7 @@
 
     /** Puts a plan with the routes of [kinds] in force. */
     fun writePlan(kinds: List<String>) {
-        store.write("keyed.op", "config", DeploymentDocuments.plan(++planVersion, kinds = kinds))
+        store.writePlan(DeploymentDocuments.plan(++planVersion, kinds = kinds))
         record.note("plan", mapOf("version" to planVersion.toString(), "kinds" to kinds.joinToString(",")))
     }
 
@@ -93,11 +94,7 @@
     private fun writeHeartbeats() {
         targets.forEach { (id, registered) ->
             val sequence = registered.sequence++
-            store.write(
-                "keyed.servers",
-                id,
-                registered.target.heartbeat(SERVICE, registered.version, registered.state, sequence = sequence),
-            )
+            store.writeTarget(id, registered.target.heartbeat(SERVICE, registered.version, registered.state, sequence = sequence))
         }
     }
 
@@ -114,7 +111,7 @@
     fun retire(version: String) {
         targets.entries.filter { it.value.version == version }.forEach { (id, _) ->
             targets.remove(id)
-            store.write("keyed.servers", id, null)
+            store.writeTarget(id, null)
             leavingSince.putIfAbsent(id, record.now)
         }
         record.note("version retired", mapOf("version" to version))
@@ -124,16 +121,12 @@
         version: String,
         duration: Duration,
     ) {
-        val order = """{"service":"$SERVICE","target_version":"$version","duration":"${duration.inWholeSeconds}s"}"""
-        store.write("keyed.op", "rollout/$SERVICE", order)
+        store.orderRollout(SERVICE, version, duration)
         record.note("rollout", mapOf("version" to version))
     }
 
     /** The state in the newest verdict on the rollout of [version], or null when there is none. */
-    fun verdict(version: String): String? {
-        val body = store.newestValue("keyed.status", "rollout/$SERVICE")?.let { Json.parseToJsonElement(it).jsonObject } ?: return null
-        return body["state"]?.jsonPrimitive?.content?.takeIf { body["target_version"]?.jsonPrimitive?.content == version }
-    }
+    fun verdict(version: String): String? = store.verdict(SERVICE, version)
 
     /** Replaces the process of [entryVm] by one of [program]; returns whether the old one ended within its grace period. */
     suspend fun replace(
