Take no request once a planned stop has ended

Callers saw: a request that arrived while the process exited was passed on to a target and cut off with the process, an unsafe one too. Cause: a stop ends early when no connection is open. Between that look and the exit the process writes its log, up to 50 ms, and closes its event loops, and it went on taking requests, since its grace period had not ended.

--- a/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/EdgeServer.kt
+++ b/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/EdgeServer.kt
@@ -18,6 +18,7 @@
 import io.vertx.core.Vertx
 import io.vertx.core.buffer.Buffer
 import io.vertx.core.http.HttpConnection
+import io.vertx.core.http.HttpServer
 import io.vertx.core.http.HttpServerOptions
 import io.vertx.core.http.HttpServerRequest
 import io.vertx.core.http.HttpServerResponse
@@ -57,6 +58,7 @@
     private val pendingRequests = HashMap<HttpConnection, Int>()
     private var bodyBytes = 0L
     private var relayedRequests = 0
+    private var server: HttpServer? = null
 
     /** The number of callers' connections with a request that has no response yet. */
     val busyConnectionCount: Int get() = pendingRequests.size
@@ -66,14 +68,20 @@
 
     /** Listens for callers at [address]. */
     suspend fun start(address: SocketAddress) {
-        vertx
-            .createHttpServer(serverOptions(address))
-            .connectionHandler { connection ->
-                quietSince[connection] = clock()
-                connection.closeHandler { quietSince -= connection }
-            }.requestHandler { handle(it, null) }
-            .listen()
-            .coAwait()
+        server =
+            vertx
+                .createHttpServer(serverOptions(address))
+                .connectionHandler { connection ->
+                    quietSince[connection] = clock()
+                    connection.closeHandler { quietSince -= connection }
+                }.requestHandler { handle(it, null) }
+                .listen()
+                .coAwait()
+    }
+
+    /** Stops listening and closes the connections of callers that are still open. */
+    suspend fun close() {
+        withTimeoutOrNull(CLOSE_TIMEOUT) { server?.close()?.coAwait() }
     }
 
     /**
@@ -344,6 +352,9 @@
         /** The most requests of other entry VMs that are served at a time, so that this one's own callers are served too. */
         const val MAXIMUM_RELAYED_REQUESTS = 16
 
+        /** Closing sockets takes milliseconds; the process must exit in time. */
+        val CLOSE_TIMEOUT = 100.milliseconds
+
         /** The retry delay for callers whose request found this entry VM busy with those of others: about the time of one request. */
         val RELAY_RETRY_DELAY = 150.milliseconds
 
--- a/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/GatewayNode.kt
+++ b/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/GatewayNode.kt
@@ -226,9 +226,13 @@
             if (plannedStop.isRefusing) edgeServer.closeQuietConnections(QUIET_DURATION)
             delay(DRAIN_CHECK_INTERVAL)
         }
+        plannedStop.end()
         reports.lifecycle("stopped")
     }
 
+    /** Stops listening for callers; to be called after [drain], so that none connects while the process exits. */
+    suspend fun close(): Unit = edgeServer.close()
+
     /** Whether this process has run long enough to have received a heartbeat of every member. */
     private val isSettled: Boolean get() = clock() > SETTLING_TIME
 
--- a/goldcrestquay-platform-standins/src/test/kotlin/dev/goldcrestquay/standins/platform/PlannedStopTest.kt
+++ b/goldcrestquay-platform-standins/src/test/kotlin/dev/goldcrestquay/standins/platform/PlannedStopTest.kt
@@ -128,6 +128,16 @@
         }
     }
 
+    /** Guards against requests that arrive between the last look at the open connections and the exit, and are cut off while they run. */
+    @Test
+    fun `a request that arrives after the stop has ended is not run`() =
+        test {
+            drain()
+            val status = entryVm.statusOf("/unsafe/x", HttpMethod.POST, "order", "after")
+            targets.flatMap { target -> target.executed.map { it.id } }.shouldBeEmpty()
+            (status == null || status == 503) shouldBe true
+        }
+
     /** Guards against answers that lose their end in a planned stop, since they are passed on while they arrive. */
     @Test
     fun `a large answer is complete whether the stop begins before its head or after it`() {
--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/routing/PlannedStop.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/routing/PlannedStop.kt
@@ -17,6 +17,7 @@
     private val grace: () -> Duration,
 ) {
     private var begunAt: Duration? = null
+    private var hasEnded = false
 
     private val elapsed: Duration? get() = begunAt?.let { clock() - it }
 
@@ -24,16 +25,22 @@
     public val hasBegun: Boolean get() = begunAt != null
 
     /** Whether only requests are taken that end before the exit. */
-    public val isRefusing: Boolean get() = elapsed?.let { it >= openDuration() } ?: false
+    public val isRefusing: Boolean get() = hasEnded || elapsed?.let { it >= openDuration() } ?: false
 
-    /** The time until the process exits, negative once it is due; infinite unless it has been asked to stop. */
-    public val timeLeft: Duration get() = elapsed?.let { grace() - EXIT_DURATION - it } ?: Duration.INFINITE
+    /** The time until the process exits, not positive once it is due; infinite unless it has been asked to stop. */
+    public val timeLeft: Duration
+        get() = if (hasEnded) Duration.ZERO else elapsed?.let { grace() - EXIT_DURATION - it } ?: Duration.INFINITE
 
     /** Begins to stop; does nothing when the stop has begun already. */
     public fun begin() {
         if (begunAt == null) begunAt = clock()
     }
 
+    /** Ends the stop, since the process exits now: no request is taken any more, as the exit would cut it off. */
+    public fun end() {
+        hasEnded = true
+    }
+
     /** Whether to send on a request that may take [remaining] until its caller's deadline or its route's timeout. */
     public fun allows(remaining: Duration): Boolean = !isRefusing || remaining + ANSWER_DURATION <= timeLeft
 
