--- a/goldcrestquay-platform-standins/src/main/kotlin/dev/goldcrestquay/standins/platform/TrainingMain.kt
+++ b/goldcrestquay-platform-standins/src/main/kotlin/dev/goldcrestquay/standins/platform/TrainingMain.kt
@@ -9,7 +9,6 @@
 import kotlinx.coroutines.withTimeout
 import java.io.File
 import java.io.IOException
-import java.net.ServerSocket
 import kotlin.system.exitProcess
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -102,20 +101,3 @@
         .sendBuffer(Buffer.buffer("order"))
         .coAwait()
 }
-
-/** Returns the first of four consecutive ports that were free when checked; another process may take them before they are used. */
-internal fun findFreePorts(): Int {
-    while (true) {
-        val first = ServerSocket(0).use { it.localPort }
-        val free =
-            (first..first + DIRECTORY_PORT_OFFSET).all { port ->
-                try {
-                    ServerSocket(port).close()
-                    true
-                } catch (_: IOException) {
-                    false
-                }
-            }
-        if (free) return first
-    }
-}
