Refuse calls at the end of a daemon's drain

Callers saw: an entry VM of the project's own interface that left did not stop while callers went on calling, for up to 600 s, and cut off the calls that were in flight then. The drain waited until no call was in flight, and took new ones meanwhile and up to the end.

--- a/goldcrestquay-daemon/src/main/kotlin/dev/goldcrestquay/daemon/EntryDaemon.kt
+++ b/goldcrestquay-daemon/src/main/kotlin/dev/goldcrestquay/daemon/EntryDaemon.kt
@@ -92,13 +92,14 @@
     /**
      * Leaves without interrupting calls, except for those still in flight after [MAXIMUM_DRAIN_TIME].
      *
-     * Tells the peers, keeps serving until the last address answer that names this entry VM has expired at the callers, waits for the
-     * calls in flight and stops.
+     * Tells the peers, keeps serving until the last address answer that names this entry VM has expired at the callers, then refuses
+     * calls, waits for those in flight and stops.
      */
     suspend fun drain() {
         logger.info { "entry VM ${settings.name} is leaving" }
         entryVm.control.leave()
         delay(ANSWER_LIFETIME_MILLISECONDS.milliseconds + ADDRESS_EXPIRY_MARGIN)
+        callerServers.forEach { it.stopAccepting() }
         withTimeoutOrNull(MAXIMUM_DRAIN_TIME) {
             while (callerServers.sumOf { it.openCalls } > 0) delay(DRAIN_CHECK_INTERVAL)
         }
--- a/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/CallerServer.kt
+++ b/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/CallerServer.kt
@@ -51,6 +51,9 @@
     private val clock = entryVm.clock
     private val openCallCount = AtomicInteger()
 
+    @Volatile
+    private var isRefusing = false
+
     /** The number of calls in flight. */
     val openCalls: Int get() = openCallCount.get()
 
@@ -64,10 +67,16 @@
         return server.listen(port, host).coAwait()
     }
 
+    /** Refuses all further calls as not run; those in flight go on. */
+    fun stopAccepting() {
+        isRefusing = true
+    }
+
     private fun accept(request: HttpServerRequest) {
         request.pause()
         if (entryVm.leaving) request.response().putHeader("connection", "close")
         if (request.path() == ENTRIES_PATH) return answerAddressQuery(request)
+        if (isRefusing) return refuse(request, Outcome.NotRun(ResultCode.LEAVING))
         openCallCount.incrementAndGet()
         val job = CoroutineScope(vertx.dispatcher()).launch(start = CoroutineStart.LAZY) { handleCall(request) }
         request.response().closeHandler { job.cancel(CallerDisconnected()) }
