--- a/goldcrestquay/src/test/kotlin/dev/goldcrestquay/move/RolloutTest.kt
+++ b/goldcrestquay/src/test/kotlin/dev/goldcrestquay/move/RolloutTest.kt
@@ -86,6 +86,20 @@
         judgeRollout(view.copy(countsBefore = listOf(old, trial)))?.phase shouldBe RolloutPhase.ROLLED_BACK
     }
 
+    /**
+     * The load pattern of entry VMs that end, or are cut off from the leader, while a good version gets all traffic: their counts are gone
+     * from the sum, and what the others count since the last step must not look slow for it.
+     */
+    @Test
+    fun `counts of entry VMs that are gone do not make a version look slow`() {
+        val old = count("v1", 400)
+        val gone = count("v2", 37, mean = 100.0)
+        val staying = count("v2", 23)
+        val since = count("v2", 45)
+        val view = view(old, staying + since, phase = RolloutPhase.SHIFTED, timeSinceOrder = 8.seconds)
+        judgeRollout(view.copy(countsBefore = listOf(old, gone + staying), countsRecently = emptyList())) shouldBe null
+    }
+
     /** The load pattern of a version that turns slow some time after it got all traffic; what it answered before hides the first of them. */
     @Test
     fun `slow answers of the last moment count by themselves`() {
