Count what a version gained since a step by process

Callers saw: nothing. Cause: what is counted since a step was the difference of two sums over processes. A process that is gone from the second sum, since its entry VM ended or is cut off from the leader, left a few answers with the latency of many. The rate by which a trial's share is chosen had the same fault. Change: differences are taken by process and then summed; the last counts of a process that is gone are kept.

--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/machine/FleetReplicator.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/machine/FleetReplicator.kt
@@ -247,7 +247,7 @@
     private suspend fun decideRollouts() {
         if (state.orders().isEmpty() && state.lostVerdicts().isEmpty()) return
         rolloutDecisions.withLock {
-            val counts = evidence.countsOf(state.orders().keys).values.flatten()
+            val counts = evidence.countsOf(state.orders().keys)
             parts.controller.rewriteLostVerdicts()
             parts.controller.step(counts, members.alive.size)
         }
--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/move/RolloutController.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/move/RolloutController.kt
@@ -30,7 +30,7 @@
     /**
      * How far a rollout has come.
      *
-     * @property countsBefore the counts when the new version's share last rose.
+     * @property countsBefore the counts by process when the new version's share last rose.
      * @property traffic the counts of the service's requests by which its rate is measured, while it is not known.
      */
     private class Progress(
@@ -38,17 +38,22 @@
         var phase: RolloutPhase,
         var share: Double,
         var since: Duration,
-        var countsBefore: List<VersionCount> = emptyList(),
+        var countsBefore: ProcessCounts = emptyMap(),
         var traffic: TrafficSample? = null,
     ) {
-        private val samples = ArrayDeque<Pair<Duration, List<VersionCount>>>()
-
-        /** Adds [counts] to the samples, and returns those of [RECENT_TIME] ago, or from when the share last rose if that is later. */
-        fun sample(
-            now: Duration,
-            counts: List<VersionCount>,
-        ): List<VersionCount> {
-            samples.addLast(now to counts)
+        /** The last known counts of each process, of those too that have ended or are cut off now and may come back. */
+        var latest: ProcessCounts = emptyMap()
+            private set
+
+        private val samples = ArrayDeque<Pair<Duration, ProcessCounts>>()
+
+        fun update(counts: ProcessCounts) {
+            latest = latest + counts
+        }
+
+        /** Adds the [latest] counts to the samples; returns those of [RECENT_TIME] ago, or from when the share last rose if that is later. */
+        fun sample(now: Duration): ProcessCounts {
+            samples.addLast(now to latest)
             while (samples.size > 1 && samples[1].first <= now - RECENT_TIME) samples.removeFirst()
             val (at, earlier) = samples.first()
             return if (at > now - RECENT_TIME) countsBefore else earlier
@@ -58,21 +63,21 @@
     }
 
     private class TrafficSample(
-        val requests: Long,
+        val counts: ProcessCounts,
         val at: Duration,
     )
 
     private val progress = HashMap<String, Progress>()
 
-    /** Takes the next step of every rollout, given the [counts] of all entry VMs. */
+    /** Takes the next step of every rollout, given the [counts] of all entry VMs by process. */
     public suspend fun step(
-        counts: List<VersionCount>,
+        counts: Map<String, List<VersionCount>>,
         memberCount: Int,
     ) {
         progress.keys.retainAll(state.orders().keys)
         for ((service, rollout) in state.rollouts()) {
             if (state.verdict(service, rollout.order.targetVersion)?.isFinal == true) continue
-            advance(service, rollout, sumByRoute(counts.filter { it.service == service }), memberCount)
+            advance(service, rollout, counts.mapValues { (_, list) -> list.filter { it.service == service } }, memberCount)
         }
         shareProgress()
     }
@@ -98,7 +103,7 @@
     private suspend fun advance(
         service: String,
         rollout: RolloutState,
-        counts: List<VersionCount>,
+        counts: ProcessCounts,
         memberCount: Int,
     ) {
         val now = clock()
@@ -111,7 +116,9 @@
             writeOutcome(service, rollout, RolloutOutcome.ROLLED_BACK)
             return
         }
-        adaptTrialShare(current, counts)
+        current.update(counts)
+        adaptTrialShare(current)
+        val countsRecently = if (current.phase == RolloutPhase.SHIFTED) current.sample(now) else current.countsBefore
         val view =
             RolloutView(
                 order = rollout.order,
@@ -120,29 +127,28 @@
                 timeSinceOrder = state.orderAge(service),
                 timeInPhase = now - current.since,
                 hasTargets = state.targets().any { it.target.service == service && it.target.version == rollout.order.targetVersion },
-                counts = counts,
-                countsBefore = current.countsBefore,
-                countsRecently = if (current.phase == RolloutPhase.SHIFTED) current.sample(now, counts) else current.countsBefore,
+                counts = sumByRoute(counts.values.flatten()),
+                countsSinceStep = gained(current.latest, current.countsBefore),
+                countsRecently = gained(current.latest, countsRecently),
                 memberCount = memberCount,
             )
         val step = judgeRollout(view) ?: return
         // Stops the new version's requests before the write; the next step retries a write that fails.
-        if (step.phase == RolloutPhase.ROLLED_BACK) enter(current, step, counts)
+        if (step.phase == RolloutPhase.ROLLED_BACK) enter(current, step)
         if (!confirmStep(service, rollout, step.phase)) return
-        enter(current, step, counts)
+        enter(current, step)
         report(FleetEvent.RolloutStep(service, rollout.order.targetVersion, step.phase.name, step.reason))
     }
 
     private fun enter(
         current: Progress,
         step: RolloutDecision,
-        counts: List<VersionCount>,
     ) {
         if (current.phase == step.phase && current.share == step.share) return
         current.phase = step.phase
         current.share = step.share
         current.since = clock()
-        current.countsBefore = counts
+        current.countsBefore = current.latest
         current.clearSamples()
         shareProgress()
     }
@@ -160,21 +166,18 @@
         }
 
     /** Fits the trial's share to the rate of the service's requests once that has been measured. */
-    private fun adaptTrialShare(
-        current: Progress,
-        counts: List<VersionCount>,
-    ) {
+    private fun adaptTrialShare(current: Progress) {
         if (current.phase != RolloutPhase.TRIAL || current.share != RolloutPhase.TRIAL.share) return
         val now = clock()
         val timeInTrial = now - current.since
-        val requests = counts.sumOf { it.observed }
         val earlier = current.traffic
         when {
-            earlier == null -> if (timeInTrial > TRAFFIC_SAMPLE_DELAY) current.traffic = TrafficSample(requests, now)
+            earlier == null -> if (timeInTrial > TRAFFIC_SAMPLE_DELAY) current.traffic = TrafficSample(current.latest, now)
             now - earlier.at > TRAFFIC_SAMPLE_TIME -> {
-                val perSecond = (requests - earlier.requests) / (now - earlier.at).toDouble(DurationUnit.SECONDS)
+                val requests = gained(current.latest, earlier.counts).sumOf { it.observed }
+                val perSecond = requests / (now - earlier.at).toDouble(DurationUnit.SECONDS)
                 // Counts that do not rise lack those of processes that have just ended.
-                if (perSecond > 0) current.share = trialShare(perSecond) else current.traffic = TrafficSample(requests, now)
+                if (perSecond > 0) current.share = trialShare(perSecond) else current.traffic = TrafficSample(current.latest, now)
             }
         }
     }
--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/move/RolloutJudgement.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/move/RolloutJudgement.kt
@@ -12,8 +12,8 @@
  * @property timeInPhase how long the new version has had this [share].
  * @property hasTargets whether any target runs the new version.
  * @property counts the answers of all versions of the service.
- * @property countsBefore the [counts] at the time when the new version's share last rose.
- * @property countsRecently the [counts] a short time ago, not before the new version's share last rose.
+ * @property countsSinceStep the answers since the new version's share last rose.
+ * @property countsRecently the answers of a short time, not before the new version's share last rose.
  */
 public data class RolloutView(
     val order: RolloutOrder,
@@ -24,8 +24,8 @@
     val counts: List<VersionCount>,
     val memberCount: Int,
     val share: Double = phase.share,
-    val countsBefore: List<VersionCount> = emptyList(),
-    val countsRecently: List<VersionCount> = countsBefore,
+    val countsSinceStep: List<VersionCount> = counts,
+    val countsRecently: List<VersionCount> = countsSinceStep,
 )
 
 /** The phase that a rollout is to enter, the reason for it, and the new version's share of the requests from then on. */
@@ -84,8 +84,8 @@
     val (newCounts, oldCounts) = sumByRoute(view.counts).partition { it.version == view.order.targetVersion }
     val reason =
         rollbackReason(newCounts, oldCounts)
-            ?: rollbackReason(newCounts.since(view.countsBefore), oldCounts)
-            ?: manySlowAnswers(comparisons(newCounts.since(view.countsRecently), oldCounts))
+            ?: rollbackReason(view.newAmong(view.countsSinceStep), oldCounts)
+            ?: manySlowAnswers(comparisons(view.newAmong(view.countsRecently), oldCounts))
     if (reason != null) return RolloutDecision(RolloutPhase.ROLLED_BACK, reason)
     val elapsedShare = view.timeSinceOrder / view.order.duration
     val answered = newCounts.sumOf { it.answered }
@@ -103,6 +103,8 @@
     }
 }
 
+private fun RolloutView.newAmong(counts: List<VersionCount>): List<VersionCount> = counts.filter { it.version == order.targetVersion }
+
 private fun rollbackReason(
     newCounts: List<VersionCount>,
     oldCounts: List<VersionCount>,
--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/move/VersionEvidence.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/move/VersionEvidence.kt
@@ -51,13 +51,13 @@
             latencies = (latencies.keys + other.latencies.keys).associateWith { (latencies[it] ?: 0) + (other.latencies[it] ?: 0) },
         )
 
-    /** Subtracts the counters of [earlier]; none falls below zero, since those of a process that has ended are no longer included. */
+    /** Subtracts the counters that the same process had [earlier]; a bucket that requests in flight have left falls below zero. */
     public operator fun minus(earlier: VersionCount): VersionCount =
         copy(
-            answered = (answered - earlier.answered).coerceAtLeast(0),
-            failed = (failed - earlier.failed).coerceAtLeast(0),
-            milliseconds = (milliseconds - earlier.milliseconds).coerceAtLeast(0.0),
-            latencies = latencies.mapValues { (bucket, count) -> (count - (earlier.latencies[bucket] ?: 0)).coerceAtLeast(0) },
+            answered = answered - earlier.answered,
+            failed = failed - earlier.failed,
+            milliseconds = milliseconds - earlier.milliseconds,
+            latencies = (latencies.keys + earlier.latencies.keys).associateWith { (latencies[it] ?: 0) - (earlier.latencies[it] ?: 0) },
         )
 }
 
@@ -65,8 +65,23 @@
 internal fun sumByRoute(counts: List<VersionCount>): List<VersionCount> =
     counts.groupBy { Triple(it.service, it.version, it.route) }.values.map { it.reduce(VersionCount::plus) }
 
-/** What these counts, one for each version and route, have gained over [earlier]. */
-internal fun List<VersionCount>.since(earlier: List<VersionCount>): List<VersionCount> =
+/** Counts by the process that made them, one for each version and route. */
+internal typealias ProcessCounts = Map<String, List<VersionCount>>
+
+/**
+ * The sums of what the [counts] of each process have gained over those [earlier].
+ *
+ * Differences of sums would be wrong while processes end or are cut off: a few more answers with the latency of many more.
+ */
+internal fun gained(
+    counts: ProcessCounts,
+    earlier: ProcessCounts,
+): List<VersionCount> =
+    sumByRoute(counts.flatMap { (process, list) -> list.since(earlier[process].orEmpty()) })
+        .map { sum -> sum.copy(latencies = sum.latencies.mapValues { (_, count) -> count.coerceAtLeast(0) }) }
+
+/** What these counts of one process have gained over [earlier]. */
+private fun List<VersionCount>.since(earlier: List<VersionCount>): List<VersionCount> =
     map { count -> earlier.firstOrNull { it.version == count.version && it.route == count.route }?.let { count - it } ?: count }
 
 /** The number of a latency's bucket; two buckets double the latency. */
--- a/goldcrestquay/src/test/kotlin/dev/goldcrestquay/move/RolloutTest.kt
+++ b/goldcrestquay/src/test/kotlin/dev/goldcrestquay/move/RolloutTest.kt
@@ -83,7 +83,7 @@
         val trial = count("v2", 200, 4)
         val view = view(old, trial + count("v2", 20, 12), phase = RolloutPhase.SHIFTED)
         judgeRollout(view) shouldBe null
-        judgeRollout(view.copy(countsBefore = listOf(old, trial)))?.phase shouldBe RolloutPhase.ROLLED_BACK
+        judgeRollout(view.copy(countsSinceStep = listOf(count("v2", 20, 12))))?.phase shouldBe RolloutPhase.ROLLED_BACK
     }
 
     /**
@@ -96,8 +96,18 @@
         val gone = count("v2", 37, mean = 100.0)
         val staying = count("v2", 23)
         val since = count("v2", 45)
+        val before = mapOf("vm-1/1" to listOf(old, staying), "vm-2/1" to listOf(gone))
         val view = view(old, staying + since, phase = RolloutPhase.SHIFTED, timeSinceOrder = 8.seconds)
-        judgeRollout(view.copy(countsBefore = listOf(old, gone + staying), countsRecently = emptyList())) shouldBe null
+        listOf(
+            "gone" to mapOf("vm-1/1" to listOf(old, staying + since)),
+            "back unchanged" to mapOf("vm-1/1" to listOf(old, staying + since), "vm-2/1" to listOf(gone)),
+        ).forEach { (state, now) ->
+            withClue(state) {
+                val gained = gained(now, before).filter { it.version == "v2" && it.answered > 0 }
+                gained.map { it.answered to it.milliseconds } shouldBe listOf(since.answered to since.milliseconds)
+                judgeRollout(view.copy(countsSinceStep = gained)) shouldBe null
+            }
+        }
     }
 
     /** The load pattern of a version that turns slow some time after it got all traffic; what it answered before hides the first of them. */
@@ -111,11 +121,11 @@
             Triple(100L, 12L, null),
             Triple(100L, 40L, RolloutPhase.ROLLED_BACK),
         ).forEach { (fast, slow, phase) ->
-            val latencies = mapOf(latencyBucket(160.0) to 300 + fast, latencyBucket(1280.0) to slow)
-            val view = view(old, shifted.copy(answered = 300 + fast, latencies = latencies), phase = RolloutPhase.SHIFTED)
+            val recent = count("v2", fast).copy(latencies = mapOf(latencyBucket(160.0) to fast, latencyBucket(1280.0) to slow))
+            val view = view(old, shifted + recent, phase = RolloutPhase.SHIFTED)
             withClue("$fast fast and $slow slow ones since then") {
                 judgeRollout(view) shouldBe null
-                judgeRollout(view.copy(countsRecently = listOf(old, shifted)))?.phase shouldBe phase
+                judgeRollout(view.copy(countsRecently = listOf(recent)))?.phase shouldBe phase
             }
         }
     }
@@ -249,11 +259,11 @@
             val controller = verdicts.controller(state, clock)
             val failing = listOf(count("v1", 400), count("v2", 30, 20))
             verdicts.loseReplies = true
-            controller.step(failing, 13)
+            controller.step(mapOf("vm-1/1" to failing), 13)
             state.rollouts().getValue("shop").phase shouldBe RolloutPhase.ROLLED_BACK
             repeat(3) {
                 now += 1.seconds
-                controller.step(failing, 13)
+                controller.step(mapOf("vm-1/1" to failing), 13)
             }
             verdicts.written.map { it.outcome } shouldContainExactly listOf(RolloutOutcome.RUNNING, RolloutOutcome.ROLLED_BACK)
         }
@@ -268,7 +278,7 @@
             val controller = InMemoryVerdicts().controller(state, clock)
             val shares =
                 listOf(1000L, 1000L, 900L, 900L, 1100L, 1300L).map { requests ->
-                    controller.step(listOf(count("v1", requests)), 13)
+                    controller.step(mapOf("vm-1/1" to listOf(count("v1", requests))), 13)
                     now += 900.milliseconds
                     state.rollouts().getValue("shop").share
                 }
@@ -284,12 +294,12 @@
             val verdicts = InMemoryVerdicts()
             val states = List(2) { state(clock) }
             val controllers = states.map { verdicts.controller(it, clock) }
-            controllers[0].step(listOf(count("v1", 400), count("v2", 30, 20)), 13)
-            controllers[1].step(listOf(count("v1", 400), count("v2", 40)), 13)
+            controllers[0].step(mapOf("vm-1/1" to listOf(count("v1", 400), count("v2", 30, 20))), 13)
+            controllers[1].step(mapOf("vm-1/1" to listOf(count("v1", 400), count("v2", 40))), 13)
             now = 8.seconds
-            controllers[1].step(listOf(count("v1", 400), count("v2", 40)), 13)
+            controllers[1].step(mapOf("vm-1/1" to listOf(count("v1", 400), count("v2", 40))), 13)
             now = 11.seconds
-            controllers[1].step(listOf(count("v1", 400), count("v2", 40)), 13)
+            controllers[1].step(mapOf("vm-1/1" to listOf(count("v1", 400), count("v2", 40))), 13)
             verdicts.written.count { it.isFinal } shouldBe 1
             states.forEach { it.rollouts().getValue("shop").phase shouldBe RolloutPhase.ROLLED_BACK }
         }
