Have processes end in the test of the trial's share

Cause: the test let one process's counts fall, which they never do; counts are told by process now. Change: two processes, of which one ends; sums, steps and checks are the same.

--- a/goldcrestquay/src/test/kotlin/dev/goldcrestquay/move/RolloutTest.kt
+++ b/goldcrestquay/src/test/kotlin/dev/goldcrestquay/move/RolloutTest.kt
@@ -276,9 +276,11 @@
             val clock = { now }
             val state = state(clock)
             val controller = InMemoryVerdicts().controller(state, clock)
+            val both = mapOf("vm-1/1" to listOf(count("v1", 900)), "vm-2/1" to listOf(count("v1", 100)))
+            val one = listOf(900L, 900L, 1100L, 1300L).map { mapOf("vm-1/1" to listOf(count("v1", it))) }
             val shares =
-                listOf(1000L, 1000L, 900L, 900L, 1100L, 1300L).map { requests ->
-                    controller.step(mapOf("vm-1/1" to listOf(count("v1", requests))), 13)
+                (listOf(both, both) + one).map { counts ->
+                    controller.step(counts, 13)
                     now += 900.milliseconds
                     state.rollouts().getValue("shop").share
                 }
