--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/routing/RequestForwarder.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/routing/RequestForwarder.kt
@@ -24,6 +24,7 @@
  * @property reach whether this entry VM reaches targets.
  * @property relayPeers the peers that serve requests in place of this entry VM while it does not.
  * @property plannedStop which requests this entry VM still takes while it stops.
+ * @property recordRun is called for each attempt that a target began to run, with the name of the tenant and the time it was sent at.
  * @property refreshRecords is called before a request is placed, and brings old records up to date if that can be done soon.
  */
 public class ForwarderTables(
@@ -36,6 +37,7 @@
     public val reach: TargetReach,
     public val relayPeers: RelayPeers,
     public val plannedStop: PlannedStop,
+    public val recordRun: (tenant: String, sentAt: Duration) -> Unit = { _, _ -> },
     public val refreshRecords: suspend () -> Unit,
 )
 
--- a/goldcrestquay/src/test/kotlin/dev/goldcrestquay/machine/OldRecordsTest.kt
+++ b/goldcrestquay/src/test/kotlin/dev/goldcrestquay/machine/OldRecordsTest.kt
@@ -159,7 +159,7 @@
                     TargetReach(clock),
                     peers,
                     PlannedStop(clock) { 6.seconds },
-                    node.refresher::refreshIfOld,
+                    refreshRecords = node.refresher::refreshIfOld,
                 )
             return RequestForwarder(tables, sampler, clock, random) { }
         }
--- a/goldcrestquay/src/test/kotlin/dev/goldcrestquay/routing/CrashingRequestTest.kt
+++ b/goldcrestquay/src/test/kotlin/dev/goldcrestquay/routing/CrashingRequestTest.kt
@@ -127,7 +127,7 @@
                     TargetReach(clock),
                     peers,
                     PlannedStop(clock) { 6.seconds },
-                    node.refresher::refreshIfOld,
+                    refreshRecords = node.refresher::refreshIfOld,
                 )
             return RequestForwarder(tables, sampler, clock, random) { }
         }
