Take bytes with an invalid status for no answer

Cause: reported of other systems, and found here: the decoder takes any number for a status, so an answer with status 000 reached the caller as an answer; 600, +200, 0200, 2000 and 20 did too, and one that says not run would have proved a refusal. Change: a status must have three digits from 100 to 599; anything else fails the exchange, so the request may have run and the caller gets 502. The other report, an answer without a length whose connection is reset under an upload, was checked: EarlyAnswerTest, 6 cases of 10 uploads each with the event loop in time and late, passes on the code before too; the failed write and the reset each end the exchange before the decoder sees the end of the connection.

--- a/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/OriginConnection.kt
+++ b/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/OriginConnection.kt
@@ -241,8 +241,17 @@
 
     override fun isContentAlwaysEmpty(message: HttpMessage): Boolean = isHeadRequest || super.isContentAlwaysEmpty(message)
 
+    /** Rejects a status that no response can have, such as 000, which the decoder would take for one. */
+    override fun createMessage(initialLine: Array<String>): HttpMessage {
+        require(initialLine[1].matches(VALID_STATUS)) { "the status is not valid: ${initialLine[1]}" }
+        return super.createMessage(initialLine)
+    }
+
     private companion object {
         const val HEADER_LIMIT_BYTES = 65_536
+
+        /** The five classes of status codes that HTTP has. */
+        val VALID_STATUS = Regex("[1-5][0-9]{2}")
     }
 }
 
