Take an invalid status for no answer on the project's own interface too

Cause: the daemon of the project's own interface passed an answer with status 000, 099, 600 or 999 on to its caller. Change: a response outside 100 to 599 is reset, and the call may have run. Result: TargetClientTest, 4 cases of a status failed before and pass now.

--- a/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/TargetClient.kt
+++ b/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/TargetClient.kt
@@ -84,7 +84,9 @@
         return try {
             val response = clientRequest.transmit(request.body)
             response.pause()
-            toResult(response)
+            if (response.statusCode() in VALID_STATUSES) return toResult(response)
+            clientRequest.reset()
+            SendResult.Broken()
         } catch (exception: CancellationException) {
             clientRequest.reset(HTTP2_CANCEL_CODE)
             throw exception
@@ -163,6 +165,9 @@
         const val MAXIMUM_CONNECTIONS_PER_TARGET = 256
         const val FIRST_SERVER_ERROR_STATUS = 500
 
+        /** A response with any other status, such as 000, is none. */
+        val VALID_STATUSES = 100..599
+
         /** The error code CANCEL of HTTP/2; over HTTP/1.1, a reset closes the connection. */
         const val HTTP2_CANCEL_CODE = 8L
         const val LOAD_PATH = "/load"
