Take an early answer without a length for none while its call is being written

Cause: on the project's own interface a target that answered a 32 MB upload at once with a 200 without length, sent part of the body and reset the connection was passed on as a complete answer, in 1 of 5 runs of TargetClientTest (upload 1 of 10): the failed write closes the connection, and the HTTP client takes that for the end of the body. Change: such an answer counts only once the call is written in full; until then the call may have run and the caller gets 502. On the platform's interface the same test did not fail on the code before.

--- a/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/TargetClient.kt
+++ b/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/TargetClient.kt
@@ -16,6 +16,7 @@
 import io.vertx.core.http.HttpClientRequest
 import io.vertx.core.http.HttpClientResponse
 import io.vertx.core.http.HttpMethod
+import io.vertx.core.http.HttpVersion
 import io.vertx.core.http.PoolOptions
 import io.vertx.core.http.RequestOptions
 import io.vertx.core.streams.ReadStream
@@ -82,9 +83,11 @@
                 return SendResult.Refused(Refusal.CONNECTION_REFUSED)
             }
         return try {
-            val response = clientRequest.transmit(request.body)
+            val written = clientRequest.transmit(request.body)
+            val response = clientRequest.response().coAwait()
             response.pause()
-            if (response.statusCode() in VALID_STATUSES) return toResult(response)
+            // A reset that ends the writing looks like the end of a body that only closing the connection ends.
+            if (response.statusCode() in VALID_STATUSES && (response.isFramed || written.succeeded())) return toResult(response)
             clientRequest.reset()
             SendResult.Broken()
         } catch (exception: CancellationException) {
@@ -142,12 +145,17 @@
     private fun RequestOptions.setTarget(target: Target): RequestOptions =
         setHost(target.address.substringBeforeLast(':')).setPort(target.address.substringAfterLast(':').toInt())
 
-    private suspend fun HttpClientRequest.transmit(body: RequestBody): HttpClientResponse =
+    /** Starts to write the request with [body]; the result succeeds once all of it is written. */
+    private fun HttpClientRequest.transmit(body: RequestBody): Future<Void> =
         when (body) {
-            is RequestBody.Buffered -> send(body.bytes).coAwait()
-            is RequestBody.Streamed -> putHeader("content-length", body.length.toString()).send(body.stream).coAwait()
+            is RequestBody.Buffered -> end(body.bytes)
+            is RequestBody.Streamed -> body.stream.pipe().to(putHeader("content-length", body.length.toString()))
         }
 
+    /** Whether the head tells where the body ends; HTTP/2 tells it without a header. */
+    private val HttpClientResponse.isFramed: Boolean
+        get() = version() == HttpVersion.HTTP_2 || getHeader("content-length") != null || getHeader("transfer-encoding") != null
+
     private suspend fun toResult(response: HttpClientResponse): SendResult<HttpClientResponse> {
         val report = TargetHeaders.parseLoadReport(response.getHeader(CallHeaders.LOAD_REPORT))
         val refusal = TargetHeaders.parseRefusal(response.getHeader(CallHeaders.NOT_RUN))
