Decide who gets scarce room by urgency, time left and work

Cause: a request is judged by itself at one target. Change: package overload, without sockets or the wall clock and not called yet. ScarceRoom sends only what can end in its time, by a factor learned from outcomes; AdmissionLevel divides the room among kinds by rank, counted in work; FleetPressure joins what VMs see. Fields and metrics say why a request was refused.

--- a/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/DecisionLog.kt
+++ b/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/DecisionLog.kt
@@ -6,6 +6,7 @@
 import kotlinx.serialization.json.JsonObjectBuilder
 import kotlinx.serialization.json.buildJsonObject
 import kotlinx.serialization.json.put
+import kotlinx.serialization.json.putJsonObject
 import org.apache.logging.log4j.LogManager
 import java.util.concurrent.ArrayBlockingQueue
 import java.util.concurrent.TimeUnit
@@ -120,6 +121,13 @@
                 put("left_ms", event.view.timeLeft.inWholeMilliseconds)
                 put("priority", event.view.priority)
                 put("retry_after_ms", event.retryAfter.inWholeMilliseconds)
+                event.room?.let {
+                    put("reason", it.reason.name)
+                    put("load_expected_ms", it.expected.inWholeMilliseconds)
+                    put("share", it.share)
+                    put("pressure", it.pressure)
+                    put("margin", it.margin)
+                }
             }
             is ForwardEvent.RequestLimitChanged -> {
                 put("target", event.target.id)
@@ -206,6 +214,13 @@
                 put("members", event.members)
                 put("format_version", event.formatVersion)
             }
+            is FleetEvent.AdmissionLevelChanged -> {
+                put("service", event.service)
+                put("openness", event.openness)
+                put("pressure", event.pressure)
+                put("arrivals", event.arrivals)
+                putJsonObject("shares") { event.shares.forEach { (route, share) -> put(route, share) } }
+            }
             is FleetEvent.RolloutStep -> {
                 put("service", event.service)
                 put("version", event.version)
--- a/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/GatewayMetrics.kt
+++ b/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/GatewayMetrics.kt
@@ -4,6 +4,7 @@
 import dev.goldcrestquay.machine.FleetEvent
 import dev.goldcrestquay.routing.ForwardEvent
 import io.prometheus.metrics.core.metrics.Counter
+import io.prometheus.metrics.core.metrics.Gauge
 import io.prometheus.metrics.core.metrics.Histogram
 import io.prometheus.metrics.model.registry.PrometheusRegistry
 import kotlin.time.DurationUnit
@@ -18,6 +19,15 @@
     private val probes = counter("goldcrestquay_probes_total", "Load probes by service.", "service")
     private val requestLimitChanges =
         counter("goldcrestquay_request_limit_changes_total", "Request limits named, changed or lifted by targets, by service.", "service")
+    private val roomRefusals =
+        counter("goldcrestquay_room_refusals_total", "Requests refused for lack of room, by reason.", "service", "route", "reason")
+    private val admittedShare =
+        Gauge
+            .builder()
+            .name("goldcrestquay_admitted_share")
+            .help("Share of the requests of a kind that its service took at the last refusal.")
+            .labelNames("service", "route")
+            .register(registry)
     private val relays =
         counter("goldcrestquay_relays_total", "Requests relayed, by direction (sent or received) and outcome.", "direction", "outcome")
     private val fleetEvents = counter("goldcrestquay_belief_changes_total", "Changes of what the entry VM believes, by kind.", "kind")
@@ -36,7 +46,13 @@
                 sends.labelValues(event.target.service, event.target.version, event.attempt.toString()).inc()
                 probes.labelValues(event.target.service).inc(event.probes.toLong())
             }
-            is ForwardEvent.Refused -> probes.labelValues(event.target.service).inc(event.probes.toLong())
+            is ForwardEvent.Refused -> {
+                probes.labelValues(event.target.service).inc(event.probes.toLong())
+                event.room?.let {
+                    roomRefusals.labelValues(event.target.service, event.route, it.reason.name).inc()
+                    admittedShare.labelValues(event.target.service, event.route).set(it.share)
+                }
+            }
             is ForwardEvent.RequestLimitChanged -> requestLimitChanges.labelValues(event.target.service).inc()
             is ForwardEvent.AttemptEnded -> sendResults.labelValues(event.target.service, event.result).inc()
             is ForwardEvent.Relayed -> relays.labelValues("sent", event.outcome).inc()
--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/machine/StoreReader.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/machine/StoreReader.kt
@@ -348,6 +348,22 @@
         val formatVersion: Int,
     ) : FleetEvent
 
+    /**
+     * The leader changed the admission level of [service] for all entry VMs.
+     *
+     * @property openness the share of the offered work that the service takes.
+     * @property pressure the share of the requests let through that found no room.
+     * @property arrivals the requests of about the last second that this is based on.
+     * @property shares the share of the requests taken, by route, where it is below 1.
+     */
+    public data class AdmissionLevelChanged(
+        val service: String,
+        val openness: Double,
+        val pressure: Double,
+        val arrivals: Double,
+        val shares: Map<String, Double>,
+    ) : FleetEvent
+
     /** A rollout changed its phase, or its verdict could not be written. */
     public data class RolloutStep(
         val service: String,
--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/routing/Admission.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/routing/Admission.kt
@@ -1,5 +1,6 @@
 package dev.goldcrestquay.routing
 
+import dev.goldcrestquay.overload.RoomDecision
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
@@ -25,9 +26,10 @@
     /** The request is sent now. */
     public data object Admitted : Admission
 
-    /** The request is refused at once; the caller may retry after [retryAfter]. */
+    /** The request is refused at once; the caller may retry after [retryAfter]. [room] tells why where services share scarce room. */
     public data class Refused(
         val retryAfter: Duration,
+        val room: RoomDecision.Refused? = null,
     ) : Admission
 }
 
--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/routing/ForwardOutcome.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/routing/ForwardOutcome.kt
@@ -4,6 +4,7 @@
 import dev.goldcrestquay.link.SendResult
 import dev.goldcrestquay.machine.FleetMember
 import dev.goldcrestquay.machine.RegisteredTarget
+import dev.goldcrestquay.overload.RoomDecision
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
@@ -131,6 +132,7 @@
      * @property target the best target found.
      * @property expectedFactor the expected time at that target, in multiples of the usual service time.
      * @property probes the number of targets probed.
+     * @property room why the request got no room, where services share scarce room; else null.
      */
     public data class Refused(
         override val request: String,
@@ -140,6 +142,7 @@
         val expectedFactor: Double,
         val probes: Int,
         val retryAfter: Duration,
+        val room: RoomDecision.Refused? = null,
     ) : ForwardEvent
 
     /** The answer to a request named another limit than before: requests per second from all entry VMs, or null when it was lifted. */
