Ask for scarce room where a request is placed

Cause: the forwarder asks admit(), which knows neither other requests nor how long requests take against what was expected. Change: where ForwarderTables has a ScarceRoom, it decides in place of admit() and learns how each attempt ended; the expected time is that by the target's load alone, without the weights that rank targets. Without one, the code takes the same path as before.

--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/routing/RequestForwarder.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/routing/RequestForwarder.kt
@@ -10,6 +10,8 @@
 import dev.goldcrestquay.machine.RegisteredTarget
 import dev.goldcrestquay.machine.SharedState
 import dev.goldcrestquay.move.VersionEvidence
+import dev.goldcrestquay.overload.RoomRequest
+import dev.goldcrestquay.overload.ScarceRoom
 import kotlinx.coroutines.NonCancellable
 import kotlinx.coroutines.withContext
 import kotlinx.coroutines.withTimeoutOrNull
@@ -25,6 +27,7 @@
  * @property relayPeers the peers that serve requests in place of this entry VM while it does not.
  * @property plannedStop which requests this entry VM still takes while it stops.
  * @property recordRun is called for each attempt that a target began to run, with the name of the tenant and the time it was sent at.
+ * @property room decides about room at services that have too little of it; null where each request is judged by itself.
  * @property refreshRecords is called before a request is placed, and brings old records up to date if that can be done soon.
  */
 public class ForwarderTables(
@@ -38,6 +41,7 @@
     public val relayPeers: RelayPeers,
     public val plannedStop: PlannedStop,
     public val recordRun: (tenant: String, sentAt: Duration) -> Unit = { _, _ -> },
+    public val room: ScarceRoom? = null,
     public val refreshRecords: suspend () -> Unit,
 )
 
@@ -137,6 +141,8 @@
         /** The attempts that the retry budget was asked for; the first one is free. */
         private var paidAttempts = 1
 
+        private var hasAskedForRoom = false
+
         private val callerAge = callerAges.estimate(route.name, request.deadline)
 
         private val remaining: Duration get() = timeLimit - (clock() - request.arrivedAt)
@@ -177,9 +183,10 @@
                 }
                 val expected = statistics.serviceTime(route.name) * chosen.expectedFactor
                 val view = AdmissionView(expected, chosen.excess, objectiveLeft, remaining, route.priority)
-                val admission = admit(view)
-                if (admission is Admission.Refused) return combineOutcomes(last, refuse(chosen, view, admission.retryAfter))
-                val sendOutcome = attempt(attempt, chosen, expected)
+                val roomRequest = tables.room?.let { askForRoom(view, chosen) }
+                val admission = if (roomRequest == null) admit(view) else tables.room.admit(roomRequest)
+                if (admission is Admission.Refused) return combineOutcomes(last, refuse(chosen, view, admission))
+                val sendOutcome = attempt(attempt, chosen, expected, roomRequest)
                 last = combineOutcomes(last, sendOutcome.outcome)
                 if (!sendOutcome.mayRetry) return last
                 if (sendOutcome.isUnreachable) unreachable++
@@ -257,18 +264,30 @@
         private fun refuse(
             chosen: ChosenTarget<Connection>,
             view: AdmissionView,
-            retryAfter: Duration,
+            refusal: Admission.Refused,
         ): ForwardOutcome.NotRun {
             chosen.connection?.let { sampler.release(it) }
             val target = chosen.candidate.target
-            report(ForwardEvent.Refused(request.id, route.name, view, target, chosen.expectedFactor, chosen.probes, retryAfter))
-            return notRun(ResultCode.OVERLOADED, retryAfter)
+            val delay = refusal.retryAfter
+            report(ForwardEvent.Refused(request.id, route.name, view, target, chosen.expectedFactor, chosen.probes, delay, refusal.room))
+            return if (refusal.room == null) notRun(ResultCode.OVERLOADED, delay) else ForwardOutcome.NotRun(ResultCode.OVERLOADED, delay)
+        }
+
+        private fun askForRoom(
+            view: AdmissionView,
+            chosen: ChosenTarget<Connection>,
+        ): RoomRequest {
+            val work = statistics.serviceTime(route.name)
+            val callerTimeLeft = request.deadline?.let { it - (clock() - request.arrivedAt) }
+            return roomRequest(route, service.name, view, work, chosen.loadFactor, callerAge, callerTimeLeft, !hasAskedForRoom)
+                .also { hasAskedForRoom = true }
         }
 
         private suspend fun attempt(
             number: Int,
             chosen: ChosenTarget<Connection>,
             expected: Duration,
+            roomRequest: RoomRequest?,
         ): SendOutcome<Reply> {
             val target = chosen.candidate.target
             tried += target.id
@@ -292,6 +311,7 @@
             val crashCount = withContext(NonCancellable) { recordCrash(target, result, crashesBefore) }
             report(ForwardEvent.AttemptEnded(request.id, target, resultName(result), took, crashCount))
             recorder.recordResult(request.id, route.name, chosen, tickets, result, took)
+            roomRequest?.let { tables.room?.recordUse(it, roomUse(result), took) }
             return outcomeOf(target, result)
         }
 
--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/routing/TargetSampler.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/routing/TargetSampler.kt
@@ -19,6 +19,7 @@
  * @property expectedFactor the expected time of the request, in multiples of its usual service time.
  * @property excess the number of slots that the target lacks to start the request at once.
  * @property probes the number of targets probed.
+ * @property loadFactor the same as [expectedFactor] by the target's load alone, without what ranks targets by health and distance.
  */
 public class ChosenTarget<Connection>(
     public val candidate: TargetCandidate,
@@ -26,6 +27,7 @@
     public val expectedFactor: Double,
     public val excess: Int,
     public val probes: Int,
+    public val loadFactor: Double = expectedFactor,
 )
 
 /**
@@ -89,7 +91,14 @@
         val best = answers.minWithOrNull(compareBy({ it.candidate.allowance }, { factor(it) }))
         answers.filter { it !== best }.forEach { release(it.probe.connection) }
         if (best == null) return chooseWithoutProbe(candidates, probed)
-        return ChosenTarget(best.candidate, best.probe.connection, factor(best), best.probe.sample.excess, probed)
+        return ChosenTarget(
+            best.candidate,
+            best.probe.connection,
+            factor(best),
+            best.probe.sample.excess,
+            probed,
+            best.probe.sample.expectedFactor(),
+        )
     }
 
     /** Whether [target] answers a health check, so that its process lives although a connection to it was lost. */
@@ -141,7 +150,8 @@
         probed: Int,
     ): ChosenTarget<Connection> {
         val chosen = reachable(candidates).shuffled(random).minWith(compareBy({ it.allowance }, { recentFactor(it) }))
-        return ChosenTarget(chosen, null, recentFactor(chosen), recentSample(chosen)?.excess ?: 0, probed)
+        val sample = recentSample(chosen)
+        return ChosenTarget(chosen, null, recentFactor(chosen), sample?.excess ?: 0, probed, sample?.expectedFactor() ?: UNKNOWN_FACTOR)
     }
 
     /** The candidates that are not marked as unreachable, or all of them if every one is. */
--- a/goldcrestquay/src/test/kotlin/dev/goldcrestquay/routing/RequestForwarderTest.kt
+++ b/goldcrestquay/src/test/kotlin/dev/goldcrestquay/routing/RequestForwarderTest.kt
@@ -13,6 +13,8 @@
 import dev.goldcrestquay.machine.SharedState
 import dev.goldcrestquay.machine.TargetPhase
 import dev.goldcrestquay.move.VersionEvidence
+import dev.goldcrestquay.overload.FleetPressure
+import dev.goldcrestquay.overload.ScarceRoom
 import dev.goldcrestquay.plannedRoute
 import dev.goldcrestquay.registeredTarget
 import dev.goldcrestquay.routePlan
@@ -52,6 +54,7 @@
         targets: List<RegisteredTarget>,
         probesPerSecond: Double = 60.0,
         plan: RoutePlan = routePlan(),
+        room: ScarceRoom? = null,
     ): RequestForwarder<String, String> {
         val clock = { currentTime.milliseconds }
         state = SharedState(clock)
@@ -75,7 +78,18 @@
         val evidence = VersionEvidence(clock)
         stop = PlannedStop(clock) { grace }
         val tables =
-            ForwarderTables(state, table, budget, SplitChooser(random), evidence, CrashTable(clock), TargetReach(clock), peers, stop) { }
+            ForwarderTables(
+                state,
+                table,
+                budget,
+                SplitChooser(random),
+                evidence,
+                CrashTable(clock),
+                TargetReach(clock),
+                peers,
+                stop,
+                room = room,
+            ) { }
         return RequestForwarder(tables, sampler, clock, random) { }
     }
 
@@ -103,6 +117,51 @@
             }
         }
 
+    /** The load pattern of a service whose targets are all slowed down: a free slot is found, but the answer would come too late. */
+    @Test
+    fun `a request that cannot end in its time is refused at once only where services share scarce room`() =
+        runTest {
+            val clock = { currentTime.milliseconds }
+            threeTargets.forEach { loads[it.id] = LoadSample(0, 0, 4, 5.0, healthy = true) }
+            val request = request(RequestKind.UNSAFE, 900.milliseconds) { SendResult.Replied("done") }
+            forwarder(threeTargets).forward(request).shouldBeInstanceOf<ForwardOutcome.Answered<String>>()
+            sentTo.clear()
+            val room = ScarceRoom(clock, Random(1), FleetPressure(clock))
+            val refused =
+                forwarder(
+                    threeTargets,
+                    room = room,
+                ).forward(request(RequestKind.UNSAFE, 900.milliseconds) { SendResult.Broken() })
+            (refused as ForwardOutcome.NotRun).code shouldBe ResultCode.OVERLOADED
+            (refused.retryAfter <= 300.milliseconds) shouldBe true
+            sentTo.shouldBeEmpty()
+        }
+
+    @Test
+    fun `requests that targets reject or do not answer in time count as pressure of their service`() =
+        runTest {
+            val clock = { currentTime.milliseconds }
+            val pressure = FleetPressure(clock)
+            threeTargets.forEach { loads[it.id] = LoadSample(3, 0, 4, 1.5, healthy = true) }
+            val forwarder = forwarder(threeTargets, room = ScarceRoom(clock, Random(1), pressure))
+            forwarder.forward(request(RequestKind.UNSAFE, 900.milliseconds) { SendResult.Refused(Refusal.SHEDDING) })
+            val rejected =
+                pressure
+                    .loads()
+                    .single()
+                    .kinds
+                    .single()
+            rejected.arrivals shouldBe 1.0
+            rejected.rejected shouldBe sentTo.size.toDouble()
+            forwarder.forward(request(RequestKind.UNSAFE, 900.milliseconds) { awaitCancellation() })
+            pressure
+                .loads()
+                .single()
+                .kinds
+                .single()
+                .cut shouldBe 1.0
+        }
+
     /** The load pattern of a change of leader while a target leaves: its health check says so before the records do. */
     @Test
     fun `while the records are old no request reaches a target that may have said that it leaves`() =
