--- a/goldcrestquay/src/test/kotlin/dev/goldcrestquay/routing/RequestForwarderTest.kt
+++ b/goldcrestquay/src/test/kotlin/dev/goldcrestquay/routing/RequestForwarderTest.kt
@@ -162,6 +162,17 @@
                 .cut shouldBe 1.0
         }
 
+    /** The load pattern of targets that have just failed while there is room: what ranks them last says nothing of their time. */
+    @Test
+    fun `a failure of the only target does not make its next request hopeless`() =
+        runTest {
+            val clock = { currentTime.milliseconds }
+            val only = listOf(registeredTarget("only"))
+            val forwarder = forwarder(only, room = ScarceRoom(clock, Random(1), FleetPressure(clock)))
+            repeat(2) { forwarder.forward(request(RequestKind.UNSAFE) { SendResult.Broken() }) }
+            sentTo shouldHaveSize 2
+        }
+
     /** The load pattern of a change of leader while a target leaves: its health check says so before the records do. */
     @Test
     fun `while the records are old no request reaches a target that may have said that it leaves`() =
