Hold one admission level in all entry VMs

Cause: each of a hundred VMs sees a hundredth of the load, too little to judge by, and VMs that judge alone go wrong together. Change: exchange requests carry the sum of the loads up the tree, replies the leader's level with its age down; absent means none. The leader sends no loads to its arbiter, which follows it. Messages without loads are as before.

--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/machine/FleetExchange.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/machine/FleetExchange.kt
@@ -2,6 +2,8 @@
 
 import dev.goldcrestquay.move.RolloutState
 import dev.goldcrestquay.move.VersionCount
+import dev.goldcrestquay.overload.ServiceLevel
+import dev.goldcrestquay.overload.ServiceLoad
 import dev.goldcrestquay.routing.CrashSuspicion
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
@@ -63,6 +65,7 @@
  * @property crashes what the sender has learned since its last request about requests that end targets.
  * @property completeThrough by feed, the offset up to which the sender knows all records of the [epoch].
  * @property epoch the latest epoch of the store that the sender knows; see [LogPosition].
+ * @property loads what is asked of services at the sender and at those that report to it; empty when it does not share scarce room.
  */
 @Serializable
 public data class ExchangeRequest(
@@ -77,6 +80,7 @@
     val crashes: List<CrashSuspicion> = emptyList(),
     val completeThrough: Map<Feed, Long> = emptyMap(),
     val epoch: Long = 0,
+    val loads: List<ServiceLoad> = emptyList(),
 )
 
 /**
@@ -93,6 +97,7 @@
  * @property crashes what the peer has learned about requests that end targets.
  * @property isWhole whether [records] are all records of the peer if the sender had replicated none; otherwise only later ones.
  * @property completeFrom by feed, the offset from which on the peer has missed no removal of the [epoch]; null from an earlier release.
+ * @property levels the admission levels that the leader decided; empty when there are none, so that the sender goes by its own view.
  */
 @Serializable
 public data class ExchangeReply(
@@ -113,6 +118,7 @@
     val crashes: List<CrashSuspicion> = emptyList(),
     val isWhole: Boolean = true,
     val completeFrom: Map<Feed, Long>? = null,
+    val levels: List<ServiceLevel> = emptyList(),
 )
 
 /**
--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/machine/FleetReplicator.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/machine/FleetReplicator.kt
@@ -6,6 +6,7 @@
 import dev.goldcrestquay.move.RolloutPhase
 import dev.goldcrestquay.move.RolloutState
 import dev.goldcrestquay.move.VersionEvidence
+import dev.goldcrestquay.overload.FleetPressure
 import dev.goldcrestquay.routing.CrashTable
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CompletableDeferred
@@ -31,6 +32,7 @@
     public val evidence: VersionEvidence,
     public val controller: RolloutController,
     public val crashes: CrashTable,
+    public val pressure: FleetPressure? = null,
 )
 
 /**
@@ -141,6 +143,7 @@
         val receivedAt = clock()
         members.recordHeartbeat(request.sender, request.observed)
         evidence.merge(request.evidence)
+        parts.pressure?.merge(request.sender.name, request.loads)
         if (parts.crashes.merge(request.crashes, request.sender.peerAddress)) signal()
         if (request.isLeader && (leader == null || isStale())) changeLeader(request.sender.peerAddress)
         val known = request.known?.takeIf { it.process == process }
@@ -164,6 +167,7 @@
             crashes = parts.crashes.changesAfter(known?.crashesVersion ?: 0, request.sender.peerAddress),
             isWhole = beyond == null,
             completeFrom = state.completeFrom(),
+            levels = parts.pressure?.levels(isLeader).orEmpty(),
         )
     }
 
@@ -405,6 +409,7 @@
                 crashes = crashes,
                 completeThrough = if (known == null) state.completeThrough() else emptyMap(),
                 epoch = state.epoch,
+                loads = if (isLeader) emptyList() else parts.pressure?.loads().orEmpty(),
             )
         val reply = withTimeoutOrNull(hold + REPLY_MARGIN) { parts.exchange(peer, request) }
         if (reply == null) {
@@ -453,6 +458,7 @@
         reply.ageMilliseconds?.let { state.confirm(askedAt + reply.heldMilliseconds.milliseconds - it.milliseconds) }
         parts.crashes.merge(reply.crashes, peer)
         if (!isLeader) {
+            parts.pressure?.adopt(reply.levels)
             reply.members?.let { members.applyChanges(peer, it) }
             state.setRollouts(reply.rollouts)
         }
--- a/goldcrestquay/src/test/kotlin/dev/goldcrestquay/machine/EarlierReleaseTest.kt
+++ b/goldcrestquay/src/test/kotlin/dev/goldcrestquay/machine/EarlierReleaseTest.kt
@@ -8,12 +8,15 @@
 import dev.goldcrestquay.move.RolloutState
 import dev.goldcrestquay.move.RolloutVerdict
 import dev.goldcrestquay.move.VersionCount
+import dev.goldcrestquay.overload.KindLoad
+import dev.goldcrestquay.overload.ServiceLoad
 import dev.goldcrestquay.planRecord
 import dev.goldcrestquay.registeredTarget
 import dev.goldcrestquay.routing.CrashSuspicion
 import io.kotest.assertions.withClue
 import io.kotest.matchers.collections.shouldContainExactly
 import io.kotest.matchers.shouldBe
+import io.kotest.matchers.string.shouldNotContain
 import kotlinx.serialization.json.Json
 import kotlinx.serialization.json.JsonArray
 import kotlinx.serialization.json.JsonElement
@@ -96,6 +99,19 @@
         missing(reply, json.parseToJsonElement(text(release, "exchange-reply"))) shouldBe emptyList()
     }
 
+    /** A fleet that does not share scarce room sends what it sent before; one that does is understood by earlier releases. */
+    @Test
+    fun `loads and levels are sent only where they are shared`() {
+        json.encodeToString(ExchangeRequest.serializer(), request(LATER)) shouldNotContain "loads"
+        json.encodeToString(ExchangeReply.serializer(), reply(LATER)) shouldNotContain "levels"
+        val loads = listOf(ServiceLoad("shop", listOf(KindLoad("route", 1, false, 2.0, 300.0, 0.5, 0.25, 1.0, 0.0))))
+        val sharing = request(LATER).copy(loads = loads)
+        val text = json.encodeToString(ExchangeRequest.serializer(), sharing)
+        json.decodeFromString(ExchangeRequest.serializer(), text) shouldBe sharing
+        val sent = json.encodeToJsonElement(ExchangeRequest.serializer(), sharing)
+        missing(sent, json.parseToJsonElement(text(LATER, "exchange-request"))) shouldBe emptyList()
+    }
+
     @Test
     fun `fields of a later release are ignored`() {
         val extended = text(LATER, "exchange-request").replaceFirst("{", """{"later": {"a": [1]},""")
--- a/goldcrestquay/src/test/kotlin/dev/goldcrestquay/machine/FakeFleet.kt
+++ b/goldcrestquay/src/test/kotlin/dev/goldcrestquay/machine/FakeFleet.kt
@@ -4,6 +4,7 @@
 import dev.goldcrestquay.link.StoreLink
 import dev.goldcrestquay.move.RolloutController
 import dev.goldcrestquay.move.VersionEvidence
+import dev.goldcrestquay.overload.FleetPressure
 import dev.goldcrestquay.routing.CrashTable
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.ExperimentalCoroutinesApi
@@ -24,6 +25,7 @@
     private val store: FakeStore,
     private val seeds: List<Int> = listOf(1, 2, 3),
     private val dataCentres: Int = 1,
+    private val sharesScarceRoom: Boolean = false,
 ) {
     class Node(
         val state: SharedState,
@@ -33,6 +35,7 @@
         val crashes: CrashTable,
         val eventLoop: PausableDispatcher,
         val refresher: RecordRefresher,
+        val pressure: FleetPressure?,
     ) {
         lateinit var job: Job
 
@@ -70,6 +73,7 @@
         val controller = RolloutController(state, link, { storeReader.verdictsEndOffset }, { storeReader.readVerdicts() }, clock) { }
         val evidence = VersionEvidence(clock)
         val crashes = CrashTable(clock)
+        val pressure = if (sharesScarceRoom) FleetPressure(clock) else null
         val parts =
             ReplicatorParts(
                 state,
@@ -79,12 +83,13 @@
                 evidence,
                 controller,
                 crashes,
+                pressure,
             )
         val seedAddresses = seeds.map { member(it).peerAddress }
         val replicator = FleetReplicator(parts, { seedAddresses }, "${self.name}/$incarnation", clock, isFirstStart) { }
         val eventLoop = PausableDispatcher(scope.testScheduler)
         val refresher = RecordRefresher(state, storeReader, clock, CoroutineScope(scope.backgroundScope.coroutineContext + eventLoop)) { }
-        val node = Node(state, members, evidence, replicator, crashes, eventLoop, refresher)
+        val node = Node(state, members, evidence, replicator, crashes, eventLoop, refresher, pressure)
         nodes[self.peerAddress] = node
         node.job = scope.backgroundScope.launch(node.eventLoop) { replicator.run() }
         return node
