Share scarce room where the guarantees name pressure

Cause: deployments so far are to be served as before. Change: the settings' guarantees are decoded into GatewaySettings.sharesScarceRoom, false unless the list names pressure; only then are the decision and the exchange's records built.

--- a/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/GatewayNode.kt
+++ b/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/GatewayNode.kt
@@ -13,6 +13,8 @@
 import dev.goldcrestquay.machine.StoreReader
 import dev.goldcrestquay.move.RolloutController
 import dev.goldcrestquay.move.VersionEvidence
+import dev.goldcrestquay.overload.FleetPressure
+import dev.goldcrestquay.overload.ScarceRoom
 import dev.goldcrestquay.routing.ColdTargetLimiter
 import dev.goldcrestquay.routing.CrashTable
 import dev.goldcrestquay.routing.FleetRetryBudget
@@ -48,7 +50,7 @@
 import kotlin.time.Duration.Companion.seconds
 
 /**
- * The settings of one [GatewayNode]; those from [grace] on may change while it runs.
+ * The settings of one [GatewayNode]; those from [grace] to [probesPerSecond] may change while it runs.
  *
  * @property self this entry VM as a member, not yet accepting callers.
  * @property readyAddress where the platform's readiness checks are served.
@@ -58,6 +60,7 @@
  * @property grace how long the process may go on running after it was asked to stop.
  * @property retryLimits the limits on retries.
  * @property probesPerSecond the probes that one target may get a second, from all entry VMs together.
+ * @property sharesScarceRoom whether requests of a service that has too little room are ordered by urgency, at one level in all entry VMs.
  */
 data class GatewaySettings(
     val self: FleetMember,
@@ -68,6 +71,7 @@
     val grace: Duration,
     val retryLimits: RetryLimits,
     val probesPerSecond: Double,
+    val sharesScarceRoom: Boolean = false,
 ) {
     /** Whether a process with these settings can go on with [other] without a restart. */
     internal fun canChangeTo(other: GatewaySettings): Boolean =
@@ -113,6 +117,7 @@
     private val peers = PeerExchange(callClient, scope)
     private val evidence = VersionEvidence(clock)
     private val crashes = CrashTable(clock)
+    private val pressure = if (settings.sharesScarceRoom) FleetPressure(clock, reports.fleet) else null
     private val storeLink = store(callClient)
 
     /** The records of the store that this entry VM holds. */
@@ -126,7 +131,7 @@
         RolloutController(state, storeLink, { storeReader.verdictsEndOffset }, { storeReader.readVerdicts() }, clock, reports.fleet)
     private val replicator =
         FleetReplicator(
-            ReplicatorParts(state, members, storeReader, peers::ask, evidence, controller, crashes),
+            ReplicatorParts(state, members, storeReader, peers::ask, evidence, controller, crashes, pressure),
             { settings.seeds },
             "${settings.self.name}/${settings.self.incarnation}",
             clock,
@@ -159,6 +164,7 @@
             reach = reach,
             relayPeers = relayPeers,
             plannedStop = plannedStop,
+            room = pressure?.let { ScarceRoom(clock, random, it) },
             refreshRecords = refresher::refreshIfOld,
         )
     private val forwarder = RequestForwarder<OriginConnection, EdgeReply>(forwarderTables, sampler, clock, random, reports.request)
