Give the stand-ins plans with tenants, and targets that note keys

Cause: no test can show what becomes of callers' keys: the stand-in's plan has no tenants, and its targets keep no headers. Change: DeploymentDocuments.plan takes tenants and public routes, ReceivedRequest holds the tenant's header and the Authorization header, LoopbackEntryVm takes a plan and callers' headers. Without tenants the plan's text is as before.

--- a/goldcrestquay-platform-standins/src/main/kotlin/dev/goldcrestquay/standins/platform/DeploymentDocuments.kt
+++ b/goldcrestquay-platform-standins/src/main/kotlin/dev/goldcrestquay/standins/platform/DeploymentDocuments.kt
@@ -14,19 +14,29 @@
      * Returns a plan that routes the paths of [kinds], such as `/safe/`, of `shop.example` to [service], each with its request kind.
      *
      * @param timeout the timeout of each route, as a duration such as `2000ms`.
+     * @param tenants the keys of each tenant by its name, or null for a plan without tenants.
+     * @param publicKinds the [kinds] whose routes need no key.
      */
     fun plan(
         version: Int,
         service: String = "shop",
         timeout: String = "2000ms",
         kinds: List<String> = listOf("safe", "unsafe", "upload"),
+        tenants: Map<String, List<String>>? = null,
+        publicKinds: Set<String> = emptySet(),
     ): String {
         val rows =
             kinds.joinToString(",") { kind ->
-                """["route-$kind","shop.example","/$kind/","$kind","$timeout","400ms",1,"$service",2,null]"""
+                """["route-$kind","shop.example","/$kind/","$kind","$timeout","400ms",1,"$service",2,null${if (tenants == null) "" else ",${kind in publicKinds}"}]"""
             }
+        val tenantRows =
+            tenants?.entries?.joinToString(",", """"tenants":{"columns":["name","api_keys","priority"],"rows":[""", "]},") { (name, keys) ->
+                """["$name",[${keys.joinToString(",") { "\"$it\"" }}],null]"""
+            }
+        val publicColumn = if (tenants == null) "" else ""","public""""
         return """{"version":"%08x","routes":{"columns":["name","host","path_prefix","kind","timeout","target_latency",""".format(version) +
-            """"priority","service","max_attempts","traffic_split"],"rows":[$rows]},""" +
+            """"priority","service","max_attempts","traffic_split"$publicColumn],"rows":[$rows]},""" +
+            tenantRows.orEmpty() +
             """"services":{"columns":["name","health_path","max_conns","protocol","tls","warmup","warmup_per_s"],""" +
             """"rows":[["$service","${TargetStandIn.HEALTH_PATH}",200,"h1",false,"3s",7.0]]},"limits":{$REQUEST_LIMITS}}"""
     }
--- a/goldcrestquay-platform-standins/src/main/kotlin/dev/goldcrestquay/standins/platform/TargetStandIn.kt
+++ b/goldcrestquay-platform-standins/src/main/kotlin/dev/goldcrestquay/standins/platform/TargetStandIn.kt
@@ -41,6 +41,8 @@
  * A request as a target received it.
  *
  * @property targetInstance the identifier of the target that the entry VM meant to reach.
+ * @property tenant the tenant that the request was sent for, or null when it named none.
+ * @property authorization the caller's key, which no target may get where the plan names tenants; null when the request had none.
  */
 data class ReceivedRequest(
     val id: String,
@@ -49,6 +51,8 @@
     val method: String,
     val uri: String,
     val body: String,
+    val tenant: String? = null,
+    val authorization: String? = null,
 )
 
 /**
@@ -144,6 +148,18 @@
                     method = request.method().name(),
                     uri = request.uri(),
                     body = body.toString(),
+                    tenant =
+                        request
+                            .headers()
+                            .getAll("Goldcrestquay-Tenant")
+                            .joinToString(",")
+                            .ifEmpty { null },
+                    authorization =
+                        request
+                            .headers()
+                            .getAll("Authorization")
+                            .joinToString(",")
+                            .ifEmpty { null },
                 )
             receive(request, received)
         }
--- a/goldcrestquay-platform-standins/src/test/kotlin/dev/goldcrestquay/standins/platform/LoopbackEntryVm.kt
+++ b/goldcrestquay-platform-standins/src/test/kotlin/dev/goldcrestquay/standins/platform/LoopbackEntryVm.kt
@@ -36,9 +36,10 @@
     suspend fun start(
         heartbeats: Map<String, String>,
         timeout: String = "2000ms",
+        plan: String = DeploymentDocuments.plan(version = 1, timeout = timeout),
     ) {
         store.start()
-        store.write("keyed.op", "config", DeploymentDocuments.plan(version = 1, timeout = timeout))
+        store.write("keyed.op", "config", plan)
         heartbeats.forEach { (id, heartbeat) -> store.write("keyed.servers", id, heartbeat) }
         firstPort = findFreePorts()
         val settings = PlatformSettings.read(DeploymentDocuments.settings("entry", firstPort, store.port)).getOrElse { error(it) }
@@ -78,12 +79,14 @@
         body: String = "",
         id: String = "r-${requestCount.incrementAndGet()}",
         deadlineMilliseconds: Long = 1500,
+        headers: List<Pair<String, String>> = emptyList(),
     ): HttpResponse<Buffer> =
         client
             .request(method, firstPort, HOST, path)
             .putHeader("Host", "shop.example")
             .putHeader("Goldcrestquay-Request-Id", id)
             .putHeader("Goldcrestquay-Deadline-Ms", deadlineMilliseconds.toString())
+            .also { request -> headers.forEach { (name, value) -> request.headers().add(name, value) } }
             .sendBuffer(Buffer.buffer(body))
             .coAwait()
 
