Count requests by organisation

Cause: operators can't see which organisation is refused, and a label for each could grow without end. Change: goldcrestquay_organisation_requests_total by organisation and outcome, from the 201st organisation on together as "other".

--- a/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/GatewayMetrics.kt
+++ b/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/GatewayMetrics.kt
@@ -21,6 +21,11 @@
     private val relays =
         counter("goldcrestquay_relays_total", "Requests relayed, by direction (sent or received) and outcome.", "direction", "outcome")
     private val fleetEvents = counter("goldcrestquay_belief_changes_total", "Changes of what the entry VM believes, by kind.", "kind")
+    private val tenantRequests =
+        counter("goldcrestquay_organisation_requests_total", "Requests by organisation and outcome.", "organisation", "outcome")
+
+    /** The organisations that have a metric of their own. */
+    private val namedTenants = HashSet<String>()
     private val latency =
         Histogram
             .builder()
@@ -44,11 +49,15 @@
             is ForwardEvent.Ended -> {
                 val route = event.route ?: "none"
                 requests.labelValues(route, event.outcome, (event.code?.number ?: 0).toString()).inc()
+                event.tenant?.let { tenantRequests.labelValues(labelOf(it), event.outcome).inc() }
                 latency.labelValues(route).observe(event.took.toDouble(DurationUnit.SECONDS))
             }
         }
     }
 
+    private fun labelOf(tenant: String): String =
+        if (tenant in namedTenants || (namedTenants.size < MAXIMUM_NAMED_TENANTS && namedTenants.add(tenant))) tenant else OTHER_TENANTS
+
     /** Counts a change in the replication of the store's records, by the event's class name. */
     fun observe(event: FleetEvent) {
         fleetEvents.labelValues(event::class.simpleName.orEmpty()).inc()
@@ -68,4 +77,10 @@
             .help(help)
             .labelNames(*labels)
             .register(registry)
+
+    private companion object {
+        /** The organisations with a metric of their own; the requests of all others are counted together. */
+        const val MAXIMUM_NAMED_TENANTS = 200
+        const val OTHER_TENANTS = "other"
+    }
 }
