Train the class archive with a caller's key

Cause: the classes that digest keys are loaded with the first request, on VMs with a third of a core. Change: the training run's plan names a tenant, and its callers send its key.

--- a/goldcrestquay-platform-standins/src/main/kotlin/dev/goldcrestquay/standins/platform/TrainingMain.kt
+++ b/goldcrestquay-platform-standins/src/main/kotlin/dev/goldcrestquay/standins/platform/TrainingMain.kt
@@ -15,6 +15,7 @@
 
 private const val TARGET_COUNT = 3
 private const val REQUEST_COUNT = 40
+private const val KEY = "training-key"
 private const val BAD_GATEWAY = 502
 
 /** A port that nothing listens on, like that of a seed that is down. */
@@ -33,7 +34,7 @@
     runBlocking {
         val store = StoreStandIn(vertx)
         store.start()
-        store.writePlan(DeploymentDocuments.plan(version = 1))
+        store.writePlan(DeploymentDocuments.plan(version = 1, tenants = mapOf("training" to listOf(KEY))))
         repeat(TARGET_COUNT) { index ->
             val target = TargetStandIn(vertx, "i-$index")
             target.start()
@@ -98,6 +99,7 @@
     val request = if (number % 2 == 0) client.get(port, "127.0.0.1", "/$kind/x") else client.post(port, "127.0.0.1", "/$kind/x")
     request
         .putCallerHeaders("training-$number", 1.seconds)
+        .putHeader("Authorization", "Bearer $KEY")
         .sendBuffer(Buffer.buffer("order"))
         .coAwait()
 }
