Reject relay terms whose organisation can't go into a header

Cause: a peer's terms could name an organisation with control characters, which fails when the request to the target is written.

--- a/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/PeerRelay.kt
+++ b/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/PeerRelay.kt
@@ -111,7 +111,7 @@
                     .getUrlDecoder()
                     .decode(text)
                     .decodeToString(throwOnInvalidSequence = true)
-                    .takeIf { it.isNotEmpty() }
+                    .takeIf { name -> name.isNotEmpty() && name.none { it.isISOControl() } }
             } catch (_: IllegalArgumentException) {
                 null
             } catch (_: CharacterCodingException) {
--- a/goldcrestquay-http/src/test/kotlin/dev/goldcrestquay/http/edge/EarlierRelayTest.kt
+++ b/goldcrestquay-http/src/test/kotlin/dev/goldcrestquay/http/edge/EarlierRelayTest.kt
@@ -12,6 +12,7 @@
 import kotlinx.coroutines.withTimeoutOrNull
 import org.junit.jupiter.api.AfterEach
 import org.junit.jupiter.api.Test
+import java.util.Base64
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -70,6 +71,15 @@
         received.all { "\nother: d" in it } shouldBe true
     }
 
+    @Test
+    fun `a name that can't go into a header makes the terms unreadable`() {
+        val encoder = Base64.getUrlEncoder().withoutPadding()
+        listOf("a b" to true, "a\r\nb: c" to false, "a\u0000" to false, "" to false).forEach { (name, isReadable) ->
+            val terms = PeerRelay.parse("vm-1 0 1 4 ${encoder.encodeToString(name.encodeToByteArray())}")
+            (terms?.caller == RelayedCaller(4, name)) shouldBe isReadable
+        }
+    }
+
     @Test
     fun `relay headers of an earlier release are read, and written alike`() {
         val (terms, answered, notAnswered) = checkNotNull(javaClass.getResource("/releases/relay-81aa787.txt")).readText().lines()
