Merge organisations and their keys

Joined with the admission of scarce room: the decision about room is asked first, and the shares of organisations judge its result.

--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/routing/RequestForwarder.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/routing/RequestForwarder.kt
@@ -12,6 +12,11 @@
 import dev.goldcrestquay.move.VersionEvidence
 import dev.goldcrestquay.overload.RoomRequest
 import dev.goldcrestquay.overload.ScarceRoom
+import dev.goldcrestquay.tenant.CallerCredentials
+import dev.goldcrestquay.tenant.ShareRoom
+import dev.goldcrestquay.tenant.Tenancy
+import dev.goldcrestquay.tenant.TenantGate
+import dev.goldcrestquay.tenant.TenantShares
 import kotlinx.coroutines.NonCancellable
 import kotlinx.coroutines.withContext
 import kotlinx.coroutines.withTimeoutOrNull
@@ -62,6 +67,8 @@
     private val statistics = RouteStatistics()
     private val recorder = AttemptRecorder(tables, statistics, report)
     private val callerAges = CallerAgeEstimator()
+    private val tenantGate = TenantGate(tables.state)
+    private val shareRoom: ShareRoom = TenantShares(clock)::share
 
     /** Forwards [request] and returns its outcome; waits for the first load of the shared state if necessary. */
     public suspend fun forward(request: ForwardRequest<Connection, Reply>): ForwardOutcome<Reply> {
@@ -69,17 +76,20 @@
         tables.refreshRecords()
         val routes = tables.state.routes ?: return reportOutcome(request, null, null, notRun(ResultCode.NOT_READY))
         val route = routes.find(request.host, request.path) ?: return reportOutcome(request, null, null, notRun(ResultCode.NO_ROUTE))
+        val tenancy = tenantGate.identify(request.credentials, request.host, request.path, route)
+        tenantGate.refusal(tenancy)?.let { return reportOutcome(request, route, null, notRun(it)) }
         val serviceName = tables.splits.choose(route) ?: return reportOutcome(request, route, null, notRun(ResultCode.NO_TARGET))
         request.origin?.let { report(ForwardEvent.RelayReceived(request.id, it.from, it.elapsed, it.attempts)) }
         // The entry VM that the request came from has counted it.
         if (request.origin == null) tables.budget.recordRequest(serviceName)
         val service = routes.service(serviceName)
-        val outcome = if (service == null) notRun(ResultCode.NO_TARGET) else ForwardingRun(request, route, service).run()
-        return reportOutcome(request, route, serviceName, outcome)
+        val outcome = if (service == null) notRun(ResultCode.NO_TARGET) else ForwardingRun(request, route, service, tenancy).run()
+        return reportOutcome(request, route, serviceName, outcome, tenancy.tenantName)
     }
 
     /**
-     * Refuses a request that may not end before a planned stop does, so that its body need not be read; returns null for all others.
+     * Refuses a request of an unknown caller, or one that may not end before a planned stop does, so that its body need not be read;
+     * returns null for all others.
      *
      * @param arrivedAt when the request arrived, earlier by the time that it was under way before.
      */
@@ -89,12 +99,20 @@
         path: String,
         deadline: Duration?,
         arrivedAt: Duration,
+        credentials: CallerCredentials = CallerCredentials(),
     ): ForwardOutcome.NotRun? {
         val route = tables.state.routes?.find(host, path)
         val age = clock() - arrivedAt
-        if (tables.plannedStop.allows(timeLimit(route, deadline) - age)) return null
-        report(ForwardEvent.Ended(id, route?.name, null, LEAVING.code.kind.name, LEAVING.code, age, late = false))
-        return LEAVING
+        val refusal =
+            when {
+                !tables.plannedStop.allows(timeLimit(route, deadline) - age) -> LEAVING
+                route == null || tables.state.age() > OLD_RECORDS_AGE -> return null
+                tenantGate.refusal(tenantGate.identify(credentials, host, path, route)) == ResultCode.UNKNOWN_CALLER ->
+                    notRun(ResultCode.UNKNOWN_CALLER)
+                else -> return null
+            }
+        report(ForwardEvent.Ended(id, route?.name, null, refusal.code.kind.name, refusal.code, age, late = false))
+        return refusal
     }
 
     private fun timeLimit(
@@ -107,6 +125,7 @@
         route: PlannedRoute?,
         service: String?,
         outcome: ForwardOutcome<Reply>,
+        tenant: String? = null,
     ): ForwardOutcome<Reply> {
         val took = clock() - request.arrivedAt
         val code =
@@ -116,7 +135,7 @@
                 is ForwardOutcome.Unknown -> outcome.code
             }
         val late = route?.latencyObjective?.let { took > it } ?: false
-        report(ForwardEvent.Ended(request.id, route?.name, service, code?.kind?.name ?: "ANSWERED", code, took, late))
+        report(ForwardEvent.Ended(request.id, route?.name, service, code?.kind?.name ?: "ANSWERED", code, took, late, tenant))
         return outcome
     }
 
@@ -132,6 +151,7 @@
         private val request: ForwardRequest<Connection, Reply>,
         private val route: PlannedRoute,
         private val service: PlannedService,
+        private var tenancy: Tenancy,
     ) {
         private val timeLimit = timeLimit(route, request.deadline)
         private val tried = HashSet<String>()
@@ -166,6 +186,7 @@
                 if (!request.isCallerWaiting) return ForwardOutcome.Unknown(ResultCode.CALL_CANCELLED)
                 if (remaining < MINIMUM_TIME_LEFT) return if (attempt == 1) notRun(ResultCode.DEADLINE_PASSED) else last
                 if (!tables.plannedStop.allows(remaining)) return combineOutcomes(last, LEAVING)
+                refuseCaller()?.let { return combineOutcomes(last, it) }
                 blockedFor()?.let { return combineOutcomes(last, ForwardOutcome.NotRun(ResultCode.BLOCKED, it)) }
                 if (tables.reach.isCutOff) {
                     val relayed = if (request.origin == null) relay(maximumAttempts - attempt + 1) else notRun(ResultCode.NO_TARGET)
@@ -182,9 +203,10 @@
                     continue
                 }
                 val expected = statistics.serviceTime(route.name) * chosen.expectedFactor
-                val view = AdmissionView(expected, chosen.excess, objectiveLeft, remaining, route.priority)
+                val view = AdmissionView(expected, chosen.excess, objectiveLeft, remaining, priority)
                 val roomRequest = tables.room?.let { askForRoom(view, chosen) }
-                val admission = if (roomRequest == null) admit(view) else tables.room.admit(roomRequest)
+                val decided = if (roomRequest == null) admit(view) else tables.room.admit(roomRequest)
+                val admission = shareRoom(service.name, tenancy, view, decided)
                 if (admission is Admission.Refused) return combineOutcomes(last, refuse(chosen, view, admission))
                 val sendOutcome = attempt(attempt, chosen, expected, roomRequest)
                 last = combineOutcomes(last, sendOutcome.outcome)
@@ -196,6 +218,16 @@
             return (if (neverSent) relay(maximumAttempts) else null) ?: last
         }
 
+        private val priority: Int get() = (tenancy as? Tenancy.Identified)?.priority ?: route.priority
+
+        /** Identifies the caller by the plan that is in force now; returns false when the request may not run. */
+        private fun identifyCaller(): Boolean {
+            tenancy = tenantGate.identify(request.credentials, request.host, request.path, route)
+            return tenantGate.refusal(tenancy) == null
+        }
+
+        private fun refuseCaller(): ForwardOutcome.NotRun? = if (identifyCaller()) null else tenantGate.refusal(tenancy)?.let { notRun(it) }
+
         /** Whether [chosen] has said meanwhile that it takes no requests, or none while another of the [candidates] does. */
         private fun isSurpassed(
             chosen: TargetCandidate,
@@ -221,8 +253,10 @@
         /** Has a peer serve the request, with up to [attempts] targets; null when no peer reaches any. */
         private suspend fun relay(attempts: Int): ForwardOutcome<Reply>? {
             var last: ForwardOutcome<Reply>? = null
-            for (peer in tables.relayPeers.candidates().take(MAXIMUM_RELAYS)) {
+            val formatVersion = if (tenancy == Tenancy.Unused) 0 else FleetMember.RELAYED_CALLER_FORMAT_VERSION
+            for (peer in tables.relayPeers.candidates(formatVersion).take(MAXIMUM_RELAYS)) {
                 if (!request.isCallerWaiting || remaining < MINIMUM_TIME_LEFT) return last
+                refuseCaller()?.let { return it }
                 val outcome = relayTo(peer, attempts)
                 last = outcome
                 if (outcome !is ForwardOutcome.NotRun || outcome.code !in PEER_UNUSABLE) return outcome
@@ -235,7 +269,7 @@
             attempts: Int,
         ): ForwardOutcome<Reply> {
             val startedAt = clock()
-            val terms = RelayTerms(tables.relayPeers.self, startedAt - request.arrivedAt, attempts)
+            val terms = RelayTerms(tables.relayPeers.self, startedAt - request.arrivedAt, attempts, tenantGate.relayed(tenancy))
             request.isCancellable = route.kind.idempotent
             try {
                 val outcome =
@@ -269,7 +303,19 @@
             chosen.connection?.let { sampler.release(it) }
             val target = chosen.candidate.target
             val delay = refusal.retryAfter
-            report(ForwardEvent.Refused(request.id, route.name, view, target, chosen.expectedFactor, chosen.probes, delay, refusal.room))
+            report(
+                ForwardEvent.Refused(
+                    request.id,
+                    route.name,
+                    view,
+                    target,
+                    chosen.expectedFactor,
+                    chosen.probes,
+                    delay,
+                    refusal.room,
+                    tenancy.tenantName,
+                ),
+            )
             return if (refusal.room == null) notRun(ResultCode.OVERLOADED, delay) else ForwardOutcome.NotRun(ResultCode.OVERLOADED, delay)
         }
 
@@ -298,14 +344,17 @@
             val left = remaining
             report(sentEvent(number, chosen, left))
             var result: SendResult<Reply>? = null
+            var sentAt: Duration? = null
             request.isCancellable = route.kind.idempotent
             try {
-                val dispatch = Dispatch(target, chosen.connection, left) { mayStillGetRequests(target) }
+                val confirm = suspend { mayStillGetRequests(target).also { sentAt = if (it) clock() else null } }
+                val dispatch = Dispatch(target, chosen.connection, left, { tenancy }, confirm)
                 result = withTimeoutOrNull(left) { request.send(dispatch) }
                     ?: SendResult.Broken(ResultCode.DEADLINE_EXCEEDED)
             } finally {
                 request.isCancellable = true
                 if (result == null) recorder.recordInconclusive(chosen.candidate, tickets)
+                recordRun(result, sentAt, started)
             }
             val took = clock() - started
             val crashCount = withContext(NonCancellable) { recordCrash(target, result, crashesBefore) }
@@ -315,10 +364,24 @@
             return outcomeOf(target, result)
         }
 
-        /** The target may have left, or this entry VM's stop come too near, while the target was probed or a connection opened to it. */
+        /** Counts a run of the caller's organisation unless the request was not sent, or its target proved that it did not run it. */
+        private fun recordRun(
+            result: SendResult<Reply>?,
+            sentAt: Duration?,
+            startedAt: Duration,
+        ) {
+            val tenant = tenancy.tenantName ?: return
+            val runAt = if (result is SendResult.Replied) sentAt ?: startedAt else sentAt
+            if (runAt != null && result !is SendResult.Refused) tables.recordRun(tenant, runAt)
+        }
+
+        /**
+         * The target may have left, this entry VM's stop come too near, or the caller's key been taken away, while the target was probed
+         * or a connection opened to it.
+         */
         private suspend fun mayStillGetRequests(target: RegisteredTarget): Boolean {
             tables.refreshRecords()
-            return tables.targets.mayGetRequests(target) && tables.plannedStop.allows(remaining)
+            return identifyCaller() && tables.targets.mayGetRequests(target) && tables.plannedStop.allows(remaining)
         }
 
         /** Records that the target ended under the request, or that it answered; returns the count in the first case. */
@@ -370,6 +433,7 @@
                     ?.version ?: -1,
             factsAge = tables.state.age(),
             remaining = left,
+            tenant = tenancy.tenantName,
         )
     }
 
