--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/machine/FleetExchange.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/machine/FleetExchange.kt
@@ -3,6 +3,7 @@
 import dev.goldcrestquay.move.RolloutState
 import dev.goldcrestquay.move.VersionCount
 import dev.goldcrestquay.routing.CrashSuspicion
+import dev.goldcrestquay.usage.ProcessUsage
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
 
@@ -63,6 +64,7 @@
  * @property crashes what the sender has learned since its last request about requests that end targets.
  * @property completeThrough by feed, the offset up to which the sender knows all records of the [epoch].
  * @property epoch the latest epoch of the store that the sender knows; see [LogPosition].
+ * @property usage what changed in the counts of usage since the sender's last report; empty where usage is not reported.
  */
 @Serializable
 public data class ExchangeRequest(
@@ -77,6 +79,7 @@
     val crashes: List<CrashSuspicion> = emptyList(),
     val completeThrough: Map<Feed, Long> = emptyMap(),
     val epoch: Long = 0,
+    val usage: List<ProcessUsage> = emptyList(),
 )
 
 /**
--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/machine/FleetReplicator.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/machine/FleetReplicator.kt
@@ -7,6 +7,7 @@
 import dev.goldcrestquay.move.RolloutState
 import dev.goldcrestquay.move.VersionEvidence
 import dev.goldcrestquay.routing.CrashTable
+import dev.goldcrestquay.usage.UsageFeed
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.cancelChildren
@@ -22,7 +23,11 @@
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
-/** What a [FleetReplicator] works with. */
+/**
+ * What a [FleetReplicator] works with.
+ *
+ * @property usage passes on the counts of usage; null where usage is not reported.
+ */
 public class ReplicatorParts(
     public val state: SharedState,
     public val members: FleetMembers,
@@ -31,6 +36,7 @@
     public val evidence: VersionEvidence,
     public val controller: RolloutController,
     public val crashes: CrashTable,
+    public val usage: UsageFeed? = null,
 )
 
 /**
@@ -141,6 +147,7 @@
         val receivedAt = clock()
         members.recordHeartbeat(request.sender, request.observed)
         evidence.merge(request.evidence)
+        parts.usage?.merge(request.usage)
         if (parts.crashes.merge(request.crashes, request.sender.peerAddress)) signal()
         if (request.isLeader && (leader == null || isStale())) changeLeader(request.sender.peerAddress)
         val known = request.known?.takeIf { it.process == process }
@@ -394,6 +401,7 @@
         val known = progress?.position?.let { if (members.listSource == peer) it else it.copy(membersVersion = null) }
         val crashesVersion = parts.crashes.version
         val crashes = parts.crashes.changesAfter(progress?.crashesVersion ?: 0, peer)
+        val usage = parts.usage?.reportTo(peer, ownOnly = isLeader)
         val request =
             ExchangeRequest(
                 sender = members.self,
@@ -405,6 +413,7 @@
                 crashes = crashes,
                 completeThrough = if (known == null) state.completeThrough() else emptyMap(),
                 epoch = state.epoch,
+                usage = usage?.usage.orEmpty(),
             )
         val reply = withTimeoutOrNull(hold + REPLY_MARGIN) { parts.exchange(peer, request) }
         if (reply == null) {
@@ -420,6 +429,7 @@
                 crashesVersion = if (progress == null || progress.position.process == reply.position.process) crashesVersion else 0,
             ),
         )
+        usage?.let { parts.usage.recordDelivery(peer, reply.position.process, it) }
         enterEpoch(reply.epoch)
         if (progress?.position?.process != reply.position.process) removeMissing(reply)
         applyReply(peer, reply, askedAt, confirmed = !isLeader && progress?.position?.confirmations != reply.position.confirmations)
--- a/goldcrestquay/src/test/kotlin/dev/goldcrestquay/machine/FakeFleet.kt
+++ b/goldcrestquay/src/test/kotlin/dev/goldcrestquay/machine/FakeFleet.kt
@@ -5,6 +5,7 @@
 import dev.goldcrestquay.move.RolloutController
 import dev.goldcrestquay.move.VersionEvidence
 import dev.goldcrestquay.routing.CrashTable
+import dev.goldcrestquay.usage.UsageFeed
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.ExperimentalCoroutinesApi
 import kotlinx.coroutines.Job
@@ -24,6 +25,7 @@
     private val store: FakeStore,
     private val seeds: List<Int> = listOf(1, 2, 3),
     private val dataCentres: Int = 1,
+    private val usage: (FleetMember) -> UsageFeed? = { null },
 ) {
     class Node(
         val state: SharedState,
@@ -49,6 +51,9 @@
     /** Whether two entry VMs can reach each other. */
     var connected: (SocketAddress, SocketAddress) -> Boolean = { _, _ -> true }
 
+    /** Is called for each request that an entry VM sends to another one. */
+    var observe: (ExchangeRequest) -> Unit = { }
+
     /** The running entry VMs. */
     val running: Collection<Node> get() = nodes.values
 
@@ -79,6 +84,7 @@
                 evidence,
                 controller,
                 crashes,
+                usage(self),
             )
         val seedAddresses = seeds.map { member(it).peerAddress }
         val replicator = FleetReplicator(parts, { seedAddresses }, "${self.name}/$incarnation", clock, isFirstStart) { }
@@ -115,6 +121,7 @@
         request: ExchangeRequest,
     ): ExchangeReply? =
         withContext(network) {
+            observe(request)
             delay(ONE_WAY_MILLISECONDS)
             if (!connected(from, to)) awaitCancellation()
             val node = nodes[to] ?: return@withContext null
