--- a/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/DecisionLog.kt
+++ b/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/DecisionLog.kt
@@ -3,6 +3,7 @@
 import dev.goldcrestquay.link.Clock
 import dev.goldcrestquay.machine.FleetEvent
 import dev.goldcrestquay.routing.ForwardEvent
+import dev.goldcrestquay.usage.UsageEvent
 import kotlinx.serialization.json.JsonObjectBuilder
 import kotlinx.serialization.json.buildJsonObject
 import kotlinx.serialization.json.put
@@ -37,7 +38,7 @@
     val metrics: Lazy<GatewayMetrics> = lazy { GatewayMetrics() }
 
     /** The callbacks by which the entry VM reports events to this log. */
-    val reports = GatewayReports(request = ::enqueue, fleet = ::enqueue, lifecycle = ::enqueue)
+    val reports = GatewayReports(request = ::enqueue, fleet = ::enqueue, lifecycle = ::enqueue, usage = ::enqueue)
 
     /** Starts the writer thread, which begins to write after [START_DELAY_MILLISECONDS]. */
     fun start() {
@@ -75,6 +76,10 @@
                 metrics.value.observe(event)
                 writeLine(jsonLine(queued.at, eventName(event)) { putDetails(event) })
             }
+            is UsageEvent -> {
+                metrics.value.observe(event)
+                writeLine(jsonLine(queued.at, eventName(event)) { putDetails(event) })
+            }
             else -> writeLine(jsonLine(queued.at, "lifecycle") { put("state", event.toString()) })
         }
     }
--- a/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/GatewayMetrics.kt
+++ b/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/GatewayMetrics.kt
@@ -3,6 +3,7 @@
 import dev.goldcrestquay.http.text
 import dev.goldcrestquay.machine.FleetEvent
 import dev.goldcrestquay.routing.ForwardEvent
+import dev.goldcrestquay.usage.UsageEvent
 import io.prometheus.metrics.core.metrics.Counter
 import io.prometheus.metrics.core.metrics.Histogram
 import io.prometheus.metrics.model.registry.PrometheusRegistry
@@ -21,6 +22,9 @@
     private val relays =
         counter("goldcrestquay_relays_total", "Requests relayed, by direction (sent or received) and outcome.", "direction", "outcome")
     private val fleetEvents = counter("goldcrestquay_belief_changes_total", "Changes of what the entry VM believes, by kind.", "kind")
+    private val usageEvents = counter("goldcrestquay_usage_events_total", "What the holder of the usage duty decided, by kind.", "kind")
+    private val usageWindows =
+        counter("goldcrestquay_usage_windows_total", "Windows of usage by outcome (sent, late or lost).", "outcome")
     private val latency =
         Histogram
             .builder()
@@ -54,6 +58,16 @@
         fleetEvents.labelValues(event::class.simpleName.orEmpty()).inc()
     }
 
+    /** Counts what became of windows of usage, and what the holder of the duty decided, by the event's class name. */
+    fun observe(event: UsageEvent) {
+        usageEvents.labelValues(event::class.simpleName.orEmpty()).inc()
+        when (event) {
+            is UsageEvent.WindowSent -> usageWindows.labelValues(if (event.isLate) "late" else "sent").inc()
+            is UsageEvent.WindowsLost -> usageWindows.labelValues("lost").inc(event.through - event.from + 1)
+            else -> Unit
+        }
+    }
+
     /** All metrics in the Prometheus text format. */
     fun text(): String = registry.text()
 
--- a/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/GatewayNode.kt
+++ b/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/GatewayNode.kt
@@ -2,6 +2,7 @@
 
 import dev.goldcrestquay.link.Clock
 import dev.goldcrestquay.link.StoreLink
+import dev.goldcrestquay.link.WallClock
 import dev.goldcrestquay.machine.FleetEvent
 import dev.goldcrestquay.machine.FleetMember
 import dev.goldcrestquay.machine.FleetMembers
@@ -30,6 +31,10 @@
 import dev.goldcrestquay.routing.TargetReachMonitor
 import dev.goldcrestquay.routing.TargetSampler
 import dev.goldcrestquay.routing.TargetTable
+import dev.goldcrestquay.usage.UsageEvent
+import dev.goldcrestquay.usage.UsageLinks
+import dev.goldcrestquay.usage.UsageReporting
+import dev.goldcrestquay.usage.UsageSettings
 import io.vertx.core.Context
 import io.vertx.core.Vertx
 import io.vertx.core.http.HttpServerRequest
@@ -41,6 +46,7 @@
 import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
+import kotlinx.coroutines.withTimeoutOrNull
 import kotlin.coroutines.CoroutineContext
 import kotlin.random.Random
 import kotlin.time.Duration
@@ -58,6 +64,7 @@
  * @property grace how long the process may go on running after it was asked to stop.
  * @property retryLimits the limits on retries.
  * @property probesPerSecond the probes that one target may get a second, from all entry VMs together.
+ * @property usage how usage is reported to the platform; null when it isn't.
  */
 data class GatewaySettings(
     val self: FleetMember,
@@ -68,6 +75,7 @@
     val grace: Duration,
     val retryLimits: RetryLimits,
     val probesPerSecond: Double,
+    val usage: UsageSettings? = null,
 ) {
     /** Whether a process with these settings can go on with [other] without a restart. */
     internal fun canChangeTo(other: GatewaySettings): Boolean =
@@ -80,11 +88,12 @@
         ) == this
 }
 
-/** The callbacks by which an entry VM reports decisions about requests, changes in the fleet, and its own start and stop. */
+/** The callbacks by which an entry VM reports decisions about requests, changes in the fleet, its own start and stop, and usage. */
 class GatewayReports(
     val request: (ForwardEvent) -> Unit,
     val fleet: (FleetEvent) -> Unit,
     val lifecycle: (String) -> Unit,
+    val usage: (UsageEvent) -> Unit = { },
 )
 
 /** Handles a request whose format the platform's adapter defines. */
@@ -96,6 +105,7 @@
  * A small machine runs only one thread at a time anyway, so a single event loop owns all tables and they need no locks.
  *
  * @param store creates the link to the platform's store from the HTTP client that this entry VM uses for its own calls.
+ * @param usageLinks the same for the links of the usage reports; not called where usage is not reported.
  */
 class GatewayNode(
     private val vertx: Vertx,
@@ -106,6 +116,8 @@
     private val clock: Clock,
     private val reports: GatewayReports,
     random: Random = Random.Default,
+    usageLinks: (HttpCallClient) -> UsageLinks = { error("usage is reported, but its links are not given") },
+    wallClock: WallClock = System::currentTimeMillis,
 ) {
     private val scope = CoroutineScope(context.dispatcher() + SupervisorJob() + CoroutineExceptionHandler(::reportError))
     private val pool = OriginPool((context as ContextInternal).nettyEventLoop(), clock)
@@ -121,12 +133,24 @@
     /** The member list. */
     val members = FleetMembers(settings.self, clock)
 
+    private val usage =
+        settings.usage?.let {
+            UsageReporting(
+                it,
+                usageLinks(callClient),
+                members,
+                { replicator.isLeader },
+                clock,
+                wallClock,
+                reports.usage,
+            )
+        }
     private val storeReader = StoreReader(storeLink, state, clock, reports.fleet)
     private val controller =
         RolloutController(state, storeLink, { storeReader.verdictsEndOffset }, { storeReader.readVerdicts() }, clock, reports.fleet)
-    private val replicator =
+    private val replicator: FleetReplicator =
         FleetReplicator(
-            ReplicatorParts(state, members, storeReader, peers::ask, evidence, controller, crashes),
+            ReplicatorParts(state, members, storeReader, peers::ask, evidence, controller, crashes, usage?.feed),
             { settings.seeds },
             "${settings.self.name}/${settings.self.incarnation}",
             clock,
@@ -159,6 +183,7 @@
             reach = reach,
             relayPeers = relayPeers,
             plannedStop = plannedStop,
+            recordRun = { organisation, sentAt -> usage?.recordRun(organisation, sentAt) },
             refreshRecords = refresher::refreshIfOld,
         )
     private val forwarder = RequestForwarder<OriginConnection, EdgeReply>(forwarderTables, sampler, clock, random, reports.request)
@@ -187,6 +212,7 @@
         reports.lifecycle("listening")
         scope.launch { sweepPool() }
         scope.launch { reachMonitor.run() }
+        usage?.let { scope.launch { it.run() } }
     }
 
     /**
@@ -226,10 +252,16 @@
             if (plannedStop.isRefusing) edgeServer.closeQuietConnections(QUIET_DURATION)
             delay(DRAIN_CHECK_INTERVAL)
         }
+        usage?.let { flushUsage(it) }
         plannedStop.end()
         reports.lifecycle("stopped")
     }
 
+    private suspend fun flushUsage(usage: UsageReporting) {
+        usage.feed.flush()
+        withTimeoutOrNull(USAGE_FLUSH_TIMEOUT) { replicator.announceDeparture() }
+    }
+
     /** Stops listening for callers; to be called after [drain], so that none connects while the process exits. */
     suspend fun close(): Unit = edgeServer.close()
 
@@ -280,6 +312,9 @@
         /** A request follows the opening of its connection within this time, also over a slow link. */
         private val QUIET_DURATION = 500.milliseconds
 
+        /** The time for the last counts of usage at the end of a planned stop: one exchange with a peer, out of the 0.3 s before the exit. */
+        private val USAGE_FLUSH_TIMEOUT = 100.milliseconds
+
         private val DRAIN_CHECK_INTERVAL = 50.milliseconds
 
         private val SWEEP_INTERVAL = 500.milliseconds
--- a/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/HttpCallClient.kt
+++ b/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/HttpCallClient.kt
@@ -26,7 +26,8 @@
     /**
      * Sends one call and returns its response.
      *
-     * Throws [java.io.IOException] when no complete response of at most [MAXIMUM_RESPONSE_BYTES] arrives.
+     * Throws [java.io.IOException] when no complete response of at most [MAXIMUM_RESPONSE_BYTES] arrives, or when [maySend], asked right
+     * before the first byte is sent, does not allow the call.
      */
     suspend fun call(
         address: SocketAddress,
@@ -34,13 +35,20 @@
         uri: String,
         contentType: String?,
         body: ByteArray,
+        headers: Map<String, String> = emptyMap(),
+        maySend: () -> Boolean = { true },
     ): CallResponse {
         val request =
             DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.valueOf(method), uri, Unpooled.wrappedBuffer(body))
         request.headers().set(HttpHeaderNames.HOST, address.toString())
         if (contentType != null) request.headers().set(HttpHeaderNames.CONTENT_TYPE, contentType)
         if (method != "GET") request.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.size)
+        headers.forEach { (name, value) -> request.headers().set(name, value) }
         val connection = pool.take(address)
+        if (!maySend()) {
+            pool.release(connection)
+            throw OriginException("not sent, no longer allowed")
+        }
         val reply = connection.send(request) { true }
         val responseBody = reply.readToEnd(MAXIMUM_RESPONSE_BYTES)
         pool.release(connection)
--- a/goldcrestquay-platform-standins/src/main/kotlin/dev/goldcrestquay/standins/platform/DeploymentDocuments.kt
+++ b/goldcrestquay-platform-standins/src/main/kotlin/dev/goldcrestquay/standins/platform/DeploymentDocuments.kt
@@ -5,6 +5,14 @@
 internal const val CONTROL_PORT_OFFSET = 2
 internal const val DIRECTORY_PORT_OFFSET = 3
 
+/** Settings of usage reports to the API at [apiPort] of `127.0.0.1`; the others are durations such as `5s`. */
+class UsageBounds(
+    val apiPort: Int,
+    val window: String = "5s",
+    val dueAfter: String = "10s",
+    val leaseTime: String = "3s",
+)
+
 /** Creates the JSON documents of a small deployment: the plan of its operators and the settings of its entry VMs. */
 object DeploymentDocuments {
     private const val REQUEST_LIMITS =
@@ -31,20 +39,30 @@
             """"rows":[["$service","${TargetStandIn.HEALTH_PATH}",200,"h1",false,"3s",7.0]]},"limits":{$REQUEST_LIMITS}}"""
     }
 
-    /** Returns the settings of an entry VM on [host] that listens on four consecutive ports from [firstPort] on. */
+    /**
+     * Returns the settings of an entry VM on [host] that listens on four consecutive ports from [firstPort] on.
+     *
+     * @param usage how usage is reported; not at all when null.
+     */
     fun settings(
         name: String,
         firstPort: Int,
         storePort: Int,
         seeds: List<String> = emptyList(),
         host: String = "127.0.0.1",
+        usage: UsageBounds? = null,
     ): String {
+        val usageBounds =
+            usage?.run { ""","report_window":"$window","usage_late":"$dueAfter","lease_time":"$leaseTime"""" }.orEmpty()
+        val cloud =
+            usage?.run { ""","cloud":{"address":"127.0.0.1:$apiPort","duties":["usage_report"],"duties_per_s":50.0}""" }.orEmpty()
         val seedList = seeds.joinToString(",") { "\"$it\"" }
         return """{"node_name":"$name","zone":"north",""" +
             """"listen":{"front":"$host:$firstPort","ready":"$host:${firstPort + READY_PORT_OFFSET}",""" +
             """"control":"$host:${firstPort + CONTROL_PORT_OFFSET}","directory":"$host:${firstPort + DIRECTORY_PORT_OFFSET}"},""" +
             """"seeds":[$seedList],""" +
-            """"bounds":{"grace":"6s","retry_budget_ratio":0.2,"retry_budget_slack":56,"retry_window":"10s","probes_per_s":60},""" +
-            """"platform":{"address":"127.0.0.1:$storePort"}}"""
+            """"bounds":{"grace":"6s","retry_budget_ratio":0.2,"retry_budget_slack":56,"retry_window":"10s",""" +
+            """"probes_per_s":60$usageBounds},""" +
+            """"platform":{"address":"127.0.0.1:$storePort"}$cloud}"""
     }
 }
--- a/goldcrestquay-platform-standins/src/main/kotlin/dev/goldcrestquay/standins/platform/StoreStandIn.kt
+++ b/goldcrestquay-platform-standins/src/main/kotlin/dev/goldcrestquay/standins/platform/StoreStandIn.kt
@@ -67,6 +67,9 @@
     /** The number of calls received so far, by path. */
     val callsByPath = HashMap<String, Int>()
 
+    /** The names of the topics that were read or written so far. */
+    val topicNames: Set<String> get() = synchronized(topics) { topics.keys.toSet() }
+
     /** The port on `127.0.0.1` that the store listens on; valid after [start]. */
     val port: Int get() = server.actualPort()
 
--- a/goldcrestquay-platform-standins/src/test/kotlin/dev/goldcrestquay/standins/platform/LoopbackEntryVm.kt
+++ b/goldcrestquay-platform-standins/src/test/kotlin/dev/goldcrestquay/standins/platform/LoopbackEntryVm.kt
@@ -36,12 +36,17 @@
     suspend fun start(
         heartbeats: Map<String, String>,
         timeout: String = "2000ms",
+        usage: UsageBounds? = null,
     ) {
         store.start()
         store.write("keyed.op", "config", DeploymentDocuments.plan(version = 1, timeout = timeout))
         heartbeats.forEach { (id, heartbeat) -> store.write("keyed.servers", id, heartbeat) }
         firstPort = findFreePorts()
-        val settings = PlatformSettings.read(DeploymentDocuments.settings("entry", firstPort, store.port)).getOrElse { error(it) }
+        val settings =
+            PlatformSettings
+                .read(
+                    DeploymentDocuments.settings("entry", firstPort, store.port, usage = usage),
+                ).getOrElse { error(it) }
         val context = vertx.orCreateContext
         node = PlatformNode(vertx, context, settings, TimeSource.Monotonic.asClock(), GatewayReports({ }, { }, { }), Random(1))
         withContext(context.dispatcher()) { node.start() }
