--- a/goldcrestquay-platform-standins/src/main/kotlin/dev/goldcrestquay/standins/platform/StoreStandIn.kt
+++ b/goldcrestquay-platform-standins/src/main/kotlin/dev/goldcrestquay/standins/platform/StoreStandIn.kt
@@ -61,6 +61,9 @@
     /** Decides how a call to a path fails; null when the call is served. */
     var fault: (path: String) -> StoreFault? = { null }
 
+    /** Whether the store answers 404 for a topic until a record is written to it. */
+    var hidesEmpty: (topic: String) -> Boolean = { false }
+
     /** Rises by one with each [restore]; every response states it. */
     private var epoch = 1
 
@@ -146,6 +149,8 @@
         send: (() -> Unit) -> Unit,
     ) {
         val topic = topic(request.getParam("topic"))
+        val isHidden = topic.records.isEmpty() && request.path() != "/log-append" && hidesEmpty(request.getParam("topic"))
+        if (isHidden) return send { request.response().setStatusCode(404).end() }
         when (request.path()) {
             "/log-append" -> append(request, topic, send)
             "/log-read" -> read(request, topic, send)
--- a/goldcrestquay-platform-standins/src/test/kotlin/dev/goldcrestquay/standins/platform/UsageReportTest.kt
+++ b/goldcrestquay-platform-standins/src/test/kotlin/dev/goldcrestquay/standins/platform/UsageReportTest.kt
@@ -32,6 +32,7 @@
         runBlocking {
             withTimeout(60.seconds) {
                 api.start()
+                entry.store.hidesEmpty = { it == "keyed.usage" }
                 entry.start(emptyMap(), usage = UsageBounds(api.port, window = "1s", dueAfter = "5s", leaseTime = "400ms"))
                 val window = System.currentTimeMillis() / WINDOW_MILLISECONDS + 1
                 val firstToken = (1L shl Int.SIZE_BITS) + 1
