Name the duty's failed steps apart from the replication's

Cause: the log names a line after its event's class, and StepFailed stands for an unexpected error of the replication, to be reported as a fault; a call to the store that the duty repeats is none.

--- a/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/UsageLogLines.kt
+++ b/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/UsageLogLines.kt
@@ -38,7 +38,7 @@
             put("token", event.token)
             put("reason", event.reason)
         }
-        is UsageEvent.StepFailed -> put("reason", event.reason)
+        is UsageEvent.DutyStepFailed -> put("reason", event.reason)
         is UsageEvent.RecordUnreadable -> {
             put("key", event.key)
             put("offset", event.offset)
--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/usage/UsageDuty.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/usage/UsageDuty.kt
@@ -70,7 +70,7 @@
         } catch (exception: CancellationException) {
             throw exception
         } catch (error: Throwable) {
-            report(UsageEvent.StepFailed(error.toString()))
+            report(UsageEvent.DutyStepFailed(error.toString()))
             Step.FAILED
         }
 
@@ -134,7 +134,7 @@
             when (val result = withTimeoutOrNull(STORE_TIMEOUT) { links.store.read(known) } ?: NO_ANSWER) {
                 is StoreResult.Done -> result.value
                 StoreResult.Forgotten, StoreResult.Conflict -> return false.also { ledger.clear() }
-                is StoreResult.Unavailable -> return false.also { report(UsageEvent.StepFailed("read: ${result.reason}")) }
+                is StoreResult.Unavailable -> return false.also { report(UsageEvent.DutyStepFailed("read: ${result.reason}")) }
             }
         if (read.epoch > ledger.epoch) {
             ledger.clear()
@@ -150,7 +150,7 @@
     private suspend fun loadNewest(): Long? {
         val result = withTimeoutOrNull(STORE_TIMEOUT) { links.store.newest() } ?: NO_ANSWER
         if (result !is StoreResult.Done) {
-            report(UsageEvent.StepFailed("newest: $result"))
+            report(UsageEvent.DutyStepFailed("newest: $result"))
             return null
         }
         val knownEpoch = ledger.epoch.takeIf { hasLoaded } ?: result.value.epoch
@@ -196,7 +196,7 @@
             }
             StoreResult.Conflict, StoreResult.Forgotten -> false.also { refresh() }
             is StoreResult.Unavailable -> {
-                report(UsageEvent.StepFailed("append: ${result.reason}"))
+                report(UsageEvent.DutyStepFailed("append: ${result.reason}"))
                 // The record may be there, or may come to be there as long as nothing else is.
                 false.also { refresh() }
             }
--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/usage/UsageEvent.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/usage/UsageEvent.kt
@@ -48,7 +48,7 @@
     ) : UsageEvent
 
     /** A call to the store failed, or a step ended with an unexpected error; it is repeated. */
-    public data class StepFailed(
+    public data class DutyStepFailed(
         val reason: String,
     ) : UsageEvent
 
--- a/goldcrestquay/src/test/kotlin/dev/goldcrestquay/usage/UsageDutyFuzzTest.kt
+++ b/goldcrestquay/src/test/kotlin/dev/goldcrestquay/usage/UsageDutyFuzzTest.kt
@@ -42,7 +42,7 @@
                 fleet.reusedTokens.shouldBeEmpty()
                 val last = fleet.windowAt(testScheduler.currentTime) - 3
                 fleet.misses(fleet.windowAt(settledAt + RECOVERY_MILLISECONDS) + 1, last).shouldBeEmpty()
-                val unexpected = fleet.events.filter { it is UsageEvent.StepFailed && "Exception" in it.reason }
+                val unexpected = fleet.events.filter { it is UsageEvent.DutyStepFailed && "Exception" in it.reason }
                 unexpected.shouldBeEmpty()
             }
         }
