--- a/goldcrestquay-platform-standins/src/main/kotlin/dev/goldcrestquay/standins/platform/StoreStandIn.kt
+++ b/goldcrestquay-platform-standins/src/main/kotlin/dev/goldcrestquay/standins/platform/StoreStandIn.kt
@@ -61,12 +61,18 @@
     /** Decides how a call to a path fails; null when the call is served. */
     var fault: (path: String) -> StoreFault? = { null }
 
+    /** Whether the store answers 404 for a topic until a record is written to it. */
+    var hidesEmpty: (topic: String) -> Boolean = { false }
+
     /** Rises by one with each [restore]; every response states it. */
     private var epoch = 1
 
     /** The number of calls received so far, by path. */
     val callsByPath = HashMap<String, Int>()
 
+    /** The names of the topics that were read or written so far. */
+    val topicNames: Set<String> get() = synchronized(topics) { topics.keys.toSet() }
+
     /** The port on `127.0.0.1` that the store listens on; valid after [start]. */
     val port: Int get() = server.actualPort()
 
@@ -143,6 +149,8 @@
         send: (() -> Unit) -> Unit,
     ) {
         val topic = topic(request.getParam("topic"))
+        val isHidden = topic.records.isEmpty() && request.path() != "/log-append" && hidesEmpty(request.getParam("topic"))
+        if (isHidden) return send { request.response().setStatusCode(404).end() }
         when (request.path()) {
             "/log-append" -> append(request, topic, send)
             "/log-read" -> read(request, topic, send)
--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/machine/FleetExchange.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/machine/FleetExchange.kt
@@ -5,6 +5,7 @@
 import dev.goldcrestquay.overload.ServiceLevel
 import dev.goldcrestquay.overload.ServiceLoad
 import dev.goldcrestquay.routing.CrashSuspicion
+import dev.goldcrestquay.usage.ProcessUsage
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
 
@@ -69,6 +70,7 @@
  * @property completeThrough by feed, the offset up to which the sender knows all records of the [epoch].
  * @property epoch the latest epoch of the store that the sender knows; see [LogPosition].
  * @property loads what is asked of services at the sender and at those that report to it; empty when it does not share scarce room.
+ * @property usage what changed in the counts of usage since the sender's last report; empty where usage is not reported.
  */
 @Serializable
 public data class ExchangeRequest(
@@ -84,6 +86,7 @@
     val completeThrough: Map<Feed, Long> = emptyMap(),
     val epoch: Long = 0,
     val loads: List<ServiceLoad> = emptyList(),
+    val usage: List<ProcessUsage> = emptyList(),
 )
 
 /**
--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/machine/FleetReplicator.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/machine/FleetReplicator.kt
@@ -8,6 +8,7 @@
 import dev.goldcrestquay.move.VersionEvidence
 import dev.goldcrestquay.overload.FleetPressure
 import dev.goldcrestquay.routing.CrashTable
+import dev.goldcrestquay.usage.UsageFeed
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.cancelChildren
@@ -23,7 +24,11 @@
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
-/** What a [FleetReplicator] works with. */
+/**
+ * What a [FleetReplicator] works with.
+ *
+ * @property usage passes on the counts of usage; null where usage is not reported.
+ */
 public class ReplicatorParts(
     public val state: SharedState,
     public val members: FleetMembers,
@@ -33,6 +38,7 @@
     public val controller: RolloutController,
     public val crashes: CrashTable,
     public val pressure: FleetPressure? = null,
+    public val usage: UsageFeed? = null,
 )
 
 /**
@@ -144,6 +150,7 @@
         members.recordHeartbeat(request.sender, request.observed)
         evidence.merge(request.evidence)
         parts.pressure?.merge(request.sender.name, request.loads)
+        parts.usage?.merge(request.usage)
         if (parts.crashes.merge(request.crashes, request.sender.peerAddress)) signal()
         if (request.isLeader && (leader == null || isStale())) changeLeader(request.sender.peerAddress)
         val known = request.known?.takeIf { it.process == process }
@@ -398,6 +405,7 @@
         val known = progress?.position?.let { if (members.listSource == peer) it else it.copy(membersVersion = null) }
         val crashesVersion = parts.crashes.version
         val crashes = parts.crashes.changesAfter(progress?.crashesVersion ?: 0, peer)
+        val usage = parts.usage?.reportTo(peer, ownOnly = isLeader)
         val request =
             ExchangeRequest(
                 sender = members.self,
@@ -410,6 +418,7 @@
                 completeThrough = if (known == null) state.completeThrough() else emptyMap(),
                 epoch = state.epoch,
                 loads = if (isLeader) emptyList() else parts.pressure?.loads().orEmpty(),
+                usage = usage?.usage.orEmpty(),
             )
         val reply = withTimeoutOrNull(hold + REPLY_MARGIN) { parts.exchange(peer, request) }
         if (reply == null) {
@@ -425,6 +434,7 @@
                 crashesVersion = if (progress == null || progress.position.process == reply.position.process) crashesVersion else 0,
             ),
         )
+        usage?.let { parts.usage.recordDelivery(peer, reply.position.process, it) }
         enterEpoch(reply.epoch)
         if (progress?.position?.process != reply.position.process) removeMissing(reply)
         applyReply(peer, reply, askedAt, confirmed = !isLeader && progress?.position?.confirmations != reply.position.confirmations)
--- a/goldcrestquay/src/test/kotlin/dev/goldcrestquay/machine/FakeFleet.kt
+++ b/goldcrestquay/src/test/kotlin/dev/goldcrestquay/machine/FakeFleet.kt
@@ -6,6 +6,7 @@
 import dev.goldcrestquay.move.VersionEvidence
 import dev.goldcrestquay.overload.FleetPressure
 import dev.goldcrestquay.routing.CrashTable
+import dev.goldcrestquay.usage.UsageFeed
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.ExperimentalCoroutinesApi
 import kotlinx.coroutines.Job
@@ -26,6 +27,7 @@
     private val seeds: List<Int> = listOf(1, 2, 3),
     private val dataCentres: Int = 1,
     private val sharesScarceRoom: Boolean = false,
+    private val usage: (FleetMember) -> UsageFeed? = { null },
 ) {
     class Node(
         val state: SharedState,
@@ -52,6 +54,9 @@
     /** Whether two entry VMs can reach each other. */
     var connected: (SocketAddress, SocketAddress) -> Boolean = { _, _ -> true }
 
+    /** Is called for each request that an entry VM sends to another one. */
+    var observe: (ExchangeRequest) -> Unit = { }
+
     /** The running entry VMs. */
     val running: Collection<Node> get() = nodes.values
 
@@ -84,6 +89,7 @@
                 controller,
                 crashes,
                 pressure,
+                usage(self),
             )
         val seedAddresses = seeds.map { member(it).peerAddress }
         val replicator = FleetReplicator(parts, { seedAddresses }, "${self.name}/$incarnation", clock, isFirstStart) { }
@@ -120,6 +126,7 @@
         request: ExchangeRequest,
     ): ExchangeReply? =
         withContext(network) {
+            observe(request)
             delay(ONE_WAY_MILLISECONDS)
             if (!connected(from, to)) awaitCancellation()
             val node = nodes[to] ?: return@withContext null
