Send lookups with short deadlines to a second target

Cause: a lookup sent to a target that then turned slow ended at its caller's deadline and was never sent again. Change: on routes whose requests state a deadline of up to four latency objectives, an attempt that lasts clearly longer than usual is joined by a second one at a target with a free slot, within the retry budget and max_attempts; the first good answer counts and the other connection is closed. Other routes are forwarded as before (tested).

--- a/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/DecisionLog.kt
+++ b/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/DecisionLog.kt
@@ -134,6 +134,15 @@
                     put("crashes", it.crashes)
                 }
             }
+            is ForwardEvent.SentTwice -> {
+                put("route", event.route)
+                put("elapsed_ms", event.elapsed.inWholeMilliseconds)
+                put("usual_ms", event.usual?.inWholeMilliseconds)
+            }
+            is ForwardEvent.SentTwiceEnded -> {
+                put("route", event.route)
+                put("winner", event.winner)
+            }
             is ForwardEvent.RelayReceived -> {
                 put("from", event.from)
                 put("elapsed_ms", event.elapsed.inWholeMilliseconds)
--- a/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/GatewayMetrics.kt
+++ b/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/GatewayMetrics.kt
@@ -20,6 +20,10 @@
         counter("goldcrestquay_request_limit_changes_total", "Request limits named, changed or lifted by targets, by service.", "service")
     private val relays =
         counter("goldcrestquay_relays_total", "Requests relayed, by direction (sent or received) and outcome.", "direction", "outcome")
+    private val secondSends =
+        counter("goldcrestquay_second_sends_total", "Requests sent to a second target while an attempt was under way, by route.", "route")
+    private val secondSendsEnded =
+        counter("goldcrestquay_second_sends_ended_total", "Ends of these, by route and which attempt had a good answer.", "route", "winner")
     private val fleetEvents = counter("goldcrestquay_belief_changes_total", "Changes of what the entry VM believes, by kind.", "kind")
     private val latency =
         Histogram
@@ -39,6 +43,8 @@
             is ForwardEvent.Refused -> probes.labelValues(event.target.service).inc(event.probes.toLong())
             is ForwardEvent.RequestLimitChanged -> requestLimitChanges.labelValues(event.target.service).inc()
             is ForwardEvent.AttemptEnded -> sendResults.labelValues(event.target.service, event.result).inc()
+            is ForwardEvent.SentTwice -> secondSends.labelValues(event.route).inc()
+            is ForwardEvent.SentTwiceEnded -> secondSendsEnded.labelValues(event.route, event.winner).inc()
             is ForwardEvent.Relayed -> relays.labelValues("sent", event.outcome).inc()
             is ForwardEvent.RelayReceived -> relays.labelValues("received", "none").inc()
             is ForwardEvent.Ended -> {
--- a/goldcrestquay-platform-standins/src/main/kotlin/dev/goldcrestquay/standins/platform/DeploymentDocuments.kt
+++ b/goldcrestquay-platform-standins/src/main/kotlin/dev/goldcrestquay/standins/platform/DeploymentDocuments.kt
@@ -14,16 +14,18 @@
      * Returns a plan that routes the paths of [kinds], such as `/safe/`, of `shop.example` to [service], each with its request kind.
      *
      * @param timeout the timeout of each route, as a duration such as `2000ms`.
+     * @param objective the latency objective of each route, also as a duration.
      */
     fun plan(
         version: Int,
         service: String = "shop",
         timeout: String = "2000ms",
+        objective: String = "400ms",
         kinds: List<String> = listOf("safe", "unsafe", "upload"),
     ): String {
         val rows =
             kinds.joinToString(",") { kind ->
-                """["route-$kind","shop.example","/$kind/","$kind","$timeout","400ms",1,"$service",2,null]"""
+                """["route-$kind","shop.example","/$kind/","$kind","$timeout","$objective",1,"$service",2,null]"""
             }
         return """{"version":"%08x","routes":{"columns":["name","host","path_prefix","kind","timeout","target_latency",""".format(version) +
             """"priority","service","max_attempts","traffic_split"],"rows":[$rows]},""" +
--- a/goldcrestquay-platform-standins/src/test/kotlin/dev/goldcrestquay/standins/platform/LoopbackEntryVm.kt
+++ b/goldcrestquay-platform-standins/src/test/kotlin/dev/goldcrestquay/standins/platform/LoopbackEntryVm.kt
@@ -36,9 +36,10 @@
     suspend fun start(
         heartbeats: Map<String, String>,
         timeout: String = "2000ms",
+        objective: String = "400ms",
     ) {
         store.start()
-        store.write("keyed.op", "config", DeploymentDocuments.plan(version = 1, timeout = timeout))
+        store.write("keyed.op", "config", DeploymentDocuments.plan(version = 1, timeout = timeout, objective = objective))
         heartbeats.forEach { (id, heartbeat) -> store.write("keyed.servers", id, heartbeat) }
         firstPort = findFreePorts()
         val settings = PlatformSettings.read(DeploymentDocuments.settings("entry", firstPort, store.port)).getOrElse { error(it) }
--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/routing/AttemptRecorder.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/routing/AttemptRecorder.kt
@@ -34,6 +34,15 @@
         tables.evidence.recordInconclusive(tickets.evidence)
     }
 
+    /** Records an attempt that was given up because another target answered first. */
+    fun recordOvertaken(
+        candidate: TargetCandidate,
+        tickets: AttemptTickets,
+    ) {
+        candidate.health.recordOvertaken(tickets.health)
+        tables.evidence.recordInconclusive(tickets.evidence)
+    }
+
     /** Records the [result] of an attempt of [request] on [route] that [took] this time. */
     fun recordResult(
         request: String,
--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/routing/FleetRetryBudget.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/routing/FleetRetryBudget.kt
@@ -40,14 +40,21 @@
     /** Records one request for [service]. */
     public fun recordRequest(service: String): Unit = counts(service).requests.add()
 
-    /** Takes one retry for [service]; returns false if the budget is used up. */
-    public fun tryTake(service: String): Boolean {
+    /** Takes one retry for [service]; returns false if this [share] of the budget is used up. */
+    public fun tryTake(
+        service: String,
+        share: Double = 1.0,
+    ): Boolean = hasRoom(service, share).also { if (it) counts(service).retries.add() }
+
+    /** Whether one retry for [service] can be taken from this [share] of the budget. */
+    public fun hasRoom(
+        service: String,
+        share: Double = 1.0,
+    ): Boolean {
         val counts = counts(service)
         val (ratio, slack) = limits()
         val allowed = counts.requests.total() * ratio * USED_SHARE + (members()?.let { slack * USED_SHARE / it } ?: 1.0)
-        if (counts.retries.total() + 1 > allowed) return false
-        counts.retries.add()
-        return true
+        return counts.retries.total() + 1 <= allowed * share
     }
 
     private fun counts(service: String): Counts {
--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/routing/ForwardOutcome.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/routing/ForwardOutcome.kt
@@ -163,6 +163,26 @@
         val crashCount: CrashCount? = null,
     ) : ForwardEvent
 
+    /**
+     * The request was sent to a second target while an attempt was under way; the event [Sent] says to which.
+     *
+     * @property elapsed how long the attempt had lasted.
+     * @property usual the time within which nearly all attempts on the route end.
+     */
+    public data class SentTwice(
+        override val request: String,
+        val route: String,
+        val elapsed: Duration,
+        val usual: Duration?,
+    ) : ForwardEvent
+
+    /** The two attempts under way ended: `FIRST` or `SECOND` had a good answer and the other was cancelled, or `NONE` had one. */
+    public data class SentTwiceEnded(
+        override val request: String,
+        val route: String,
+        val winner: String,
+    ) : ForwardEvent
+
     /** The request came [from] another entry VM, which is cut off from the targets. */
     public data class RelayReceived(
         override val request: String,
--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/routing/RequestForwarder.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/routing/RequestForwarder.kt
@@ -10,6 +10,8 @@
 import dev.goldcrestquay.machine.RegisteredTarget
 import dev.goldcrestquay.machine.SharedState
 import dev.goldcrestquay.move.VersionEvidence
+import dev.goldcrestquay.spread.allowsSecondSend
+import dev.goldcrestquay.spread.isWorthSecondSend
 import kotlinx.coroutines.NonCancellable
 import kotlinx.coroutines.withContext
 import kotlinx.coroutines.withTimeoutOrNull
@@ -58,6 +60,7 @@
     private val statistics = RouteStatistics()
     private val recorder = AttemptRecorder(tables, statistics, report)
     private val callerAges = CallerAgeEstimator()
+    private val secondSends = SecondSends(tables.budget, statistics, clock, report)
 
     /** Forwards [request] and returns its outcome; waits for the first load of the shared state if necessary. */
     public suspend fun forward(request: ForwardRequest<Connection, Reply>): ForwardOutcome<Reply> {
@@ -139,6 +142,11 @@
 
         private val callerAge = callerAges.estimate(route.name, request.deadline)
 
+        private val maySendTwice = allowsSecondSend(route, request.deadline?.plus(callerAge))
+
+        /** Whether one of two attempts under way has a good answer, so that the other is cancelled. */
+        private var isRaceDecided = false
+
         private val remaining: Duration get() = timeLimit - (clock() - request.arrivedAt)
 
         private val objectiveLeft: Duration get() = (route.latencyObjective ?: timeLimit) - callerAge - (clock() - request.arrivedAt)
@@ -182,8 +190,8 @@
                 val sendOutcome = attempt(attempt, chosen, expected)
                 last = combineOutcomes(last, sendOutcome.outcome)
                 if (!sendOutcome.mayRetry) return last
-                if (sendOutcome.isUnreachable) unreachable++
-                if (sendOutcome.reachedTarget) attempt++
+                unreachable += sendOutcome.unreachable
+                attempt += sendOutcome.targetsReached
             }
             val neverSent = unreachable == attempt - 1 && request.origin == null && tables.reach.isDoubtful
             return (if (neverSent) relay(maximumAttempts) else null) ?: last
@@ -248,12 +256,6 @@
 
         private fun blockedFor(): Duration? = if (tables.crashes.isEmpty) null else tables.crashes.blockedFor(request.fingerprint)
 
-        /** Combines the outcomes of two attempts: once a request may have run, its outcome is never [ForwardOutcome.NotRun]. */
-        private fun combineOutcomes(
-            earlier: ForwardOutcome<Reply>,
-            newer: ForwardOutcome<Reply>,
-        ): ForwardOutcome<Reply> = if (newer is ForwardOutcome.NotRun && earlier !is ForwardOutcome.NotRun) earlier else newer
-
         private fun refuse(
             chosen: ChosenTarget<Connection>,
             view: AdmissionView,
@@ -265,10 +267,41 @@
             return notRun(ResultCode.OVERLOADED, retryAfter)
         }
 
+        /** Sends the request to [chosen], and to a second target as well while it takes longer than usual, where the plan calls for it. */
         private suspend fun attempt(
             number: Int,
             chosen: ChosenTarget<Connection>,
             expected: Duration,
+        ): SendOutcome<Reply> {
+            if (!maySendTwice) return attemptOnce(number, chosen, expected)
+            val terms = SecondSendTerms(request.id, route.name, service.name, clock(), expected, maximumAttempts - number) { remaining }
+            return secondSends.attempt(terms, { attemptOnce(number, chosen, expected) }, { attemptSecond(number + 1, terms) }) {
+                isRaceDecided = true
+            }
+        }
+
+        /** Sends the request to a second target with a free slot, or returns null when there is none. */
+        private suspend fun attemptSecond(
+            number: Int,
+            terms: SecondSendTerms,
+        ): SendOutcome<Reply>? {
+            // A request that may end its targets goes to one at a time.
+            if (tables.crashes.crashes(request.fingerprint) > 0 || !tables.plannedStop.allows(remaining)) return null
+            val candidates = tables.targets.candidates(service.name, tried).ifEmpty { return null }
+            val chosen = sampler.choose(candidates, service, transferBytes, acceptableFactor(), tables.state.age() > OLD_RECORDS_AGE)
+            val expected = statistics.serviceTime(route.name) * chosen.expectedFactor
+            val isWorthIt = chosen.connection != null && isWorthSecondSend(chosen.excess, expected, remaining)
+            if (!isWorthIt || isSurpassed(chosen.candidate, candidates) || !secondSends.tryTake(terms)) {
+                chosen.connection?.let { sampler.release(it) }
+                return null
+            }
+            return attemptOnce(number, chosen, expected)
+        }
+
+        private suspend fun attemptOnce(
+            number: Int,
+            chosen: ChosenTarget<Connection>,
+            expected: Duration,
         ): SendOutcome<Reply> {
             val target = chosen.candidate.target
             tried += target.id
@@ -286,15 +319,27 @@
                     ?: SendResult.Broken(ResultCode.DEADLINE_EXCEEDED)
             } finally {
                 request.isCancellable = true
-                if (result == null) recorder.recordInconclusive(chosen.candidate, tickets)
+                if (result == null) recordUnfinished(chosen.candidate, tickets, started)
             }
             val took = clock() - started
             val crashCount = withContext(NonCancellable) { recordCrash(target, result, crashesBefore) }
             report(ForwardEvent.AttemptEnded(request.id, target, resultName(result), took, crashCount))
             recorder.recordResult(request.id, route.name, chosen, tickets, result, took)
+            if (maySendTwice) secondSends.recordResult(route.name, result, took)
             return outcomeOf(target, result)
         }
 
+        /** Records an attempt that was cancelled: another target has answered, or the caller has left. */
+        private fun recordUnfinished(
+            candidate: TargetCandidate,
+            tickets: AttemptTickets,
+            startedAt: Duration,
+        ) {
+            if (!isRaceDecided) return recorder.recordInconclusive(candidate, tickets)
+            recorder.recordOvertaken(candidate, tickets)
+            secondSends.recordOvertaken(route.name, clock() - startedAt)
+        }
+
         /** The target may have left, or this entry VM's stop come too near, while the target was probed or a connection opened to it. */
         private suspend fun mayStillGetRequests(target: RegisteredTarget): Boolean {
             tables.refreshRecords()
@@ -327,8 +372,8 @@
                     SendOutcome(
                         notRun(ResultCode.TARGET_REFUSED),
                         mayRetry = true,
-                        reachedTarget = result.refusal != Refusal.WITHDRAWN,
-                        isUnreachable = result.refusal == Refusal.CONNECTION_REFUSED,
+                        targetsReached = if (result.refusal == Refusal.WITHDRAWN) 0 else 1,
+                        unreachable = if (result.refusal == Refusal.CONNECTION_REFUSED) 1 else 0,
                     )
                 is SendResult.Broken -> SendOutcome(ForwardOutcome.Unknown(result.code), route.kind.idempotent)
             }
@@ -360,13 +405,6 @@
             is SendResult.Broken -> result.code.name
         }
 
-    private class SendOutcome<Reply>(
-        val outcome: ForwardOutcome<Reply>,
-        val mayRetry: Boolean,
-        val reachedTarget: Boolean = true,
-        val isUnreachable: Boolean = false,
-    )
-
     private companion object {
         /** The shortest time left with which a request is sent: a network round trip. */
         val MINIMUM_TIME_LEFT = 15.milliseconds
--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/routing/TargetHealth.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/routing/TargetHealth.kt
@@ -109,6 +109,13 @@
         pending.remove(ticket)
     }
 
+    /** Records a request that was given up because another target, asked later, answered first. */
+    public fun recordOvertaken(ticket: Long) {
+        val overdueAt = pending.remove(ticket) ?: return
+        failures = decayedFailures(clock()) + if (overdueAt < clock()) 1.0 else OVERTAKEN_FAILURE_SHARE
+        failuresAt = clock()
+    }
+
     /** Records a request that the target refused because it is full. */
     public fun recordShed(ticket: Long) {
         pending.remove(ticket)
@@ -135,6 +142,9 @@
         /** The penalty of one fresh failure or overdue request, large enough that any healthy target is preferred. */
         const val FAILURE_PENALTY = 6.0
 
+        /** The part of a failure for which an overtaken request counts before it is overdue: its target may be slow for a moment only. */
+        const val OVERTAKEN_FAILURE_SHARE = 0.5
+
         /** A success removes half of the weight of earlier failures, not all of it, since some targets fail only part of their requests. */
         const val FAILURE_SHARE_AFTER_SUCCESS = 0.5
 
