Send less to targets that reject while they have room

Cause: a refusal counted against a target for 60 ms only, and a target that rejects has less to do, so its load made it the better choice again. Change: where the settings ask that scarce room is shared (sharesScarceRoom, off by default), a refusal by a target whose probe had just shown a free slot lowers its rank in probing and choice, by the share rejected; it fades within half a minute, no target is left out, and admission doesn't see it.

--- a/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/GatewayNode.kt
+++ b/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/GatewayNode.kt
@@ -58,6 +58,7 @@
  * @property grace how long the process may go on running after it was asked to stop.
  * @property retryLimits the limits on retries.
  * @property probesPerSecond the probes that one target may get a second, from all entry VMs together.
+ * @property sharesScarceRoom whether the operators ask that scarce room at targets is shared out.
  */
 data class GatewaySettings(
     val self: FleetMember,
@@ -68,6 +69,7 @@
     val grace: Duration,
     val retryLimits: RetryLimits,
     val probesPerSecond: Double,
+    val sharesScarceRoom: Boolean = false,
 ) {
     /** Whether a process with these settings can go on with [other] without a restart. */
     internal fun canChangeTo(other: GatewaySettings): Boolean =
@@ -159,6 +161,7 @@
             reach = reach,
             relayPeers = relayPeers,
             plannedStop = plannedStop,
+            steersByRejections = { settings.sharesScarceRoom },
             refreshRecords = refresher::refreshIfOld,
         )
     private val forwarder = RequestForwarder<OriginConnection, EdgeReply>(forwarderTables, sampler, clock, random, reports.request)
--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/routing/AttemptRecorder.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/routing/AttemptRecorder.kt
@@ -81,6 +81,7 @@
         when (result) {
             is SendResult.Replied -> {
                 if (result.failed) health.recordFailure(tickets.health) else health.recordSuccess(tickets.health)
+                health.rejectedShare.recordAcceptance()
                 if (!result.failed) statistics.recordServiceTime(route, took / chosen.expectedFactor.coerceAtLeast(1.0))
                 if (!result.failed) statistics.recordResponseBytes(route, result.bodyBytes)
                 tables.evidence.recordAnswer(tickets.evidence, result.failed)
@@ -89,6 +90,9 @@
                 tables.evidence.recordInconclusive(tickets.evidence)
                 if (result.refusal == Refusal.WITHDRAWN) return health.recordInconclusive(tickets.health)
                 health.recordShed(tickets.health)
+                // A probe has just shown a free slot, so the target isn't full.
+                val isUnexplained = result.refusal == Refusal.SHEDDING && chosen.connection != null && chosen.excess == 0
+                if (isUnexplained && tables.steersByRejections()) health.rejectedShare.recordRejection()
                 if (result.refusal != Refusal.SHEDDING) health.recordUnreachable()
             }
             is SendResult.Broken -> {
--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/routing/RequestForwarder.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/routing/RequestForwarder.kt
@@ -27,6 +27,7 @@
  * @property relayPeers the peers that serve requests in place of this entry VM while it does not.
  * @property plannedStop which requests this entry VM still takes while it stops.
  * @property recordRun is called for each attempt that a target began to run, with the name of the tenant and the time it was sent at.
+ * @property steersByRejections whether targets that reject requests although they have a free slot get fewer of them.
  * @property refreshRecords is called before a request is placed, and brings old records up to date if that can be done soon.
  */
 public class ForwarderTables(
@@ -40,6 +41,7 @@
     public val relayPeers: RelayPeers,
     public val plannedStop: PlannedStop,
     public val recordRun: (tenant: String, sentAt: Duration) -> Unit = { _, _ -> },
+    public val steersByRejections: () -> Boolean = { false },
     public val refreshRecords: suspend () -> Unit,
 )
 
--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/routing/TargetHealth.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/routing/TargetHealth.kt
@@ -1,6 +1,7 @@
 package dev.goldcrestquay.routing
 
 import dev.goldcrestquay.link.Clock
+import dev.goldcrestquay.spread.RejectedShare
 import kotlin.math.exp
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -21,6 +22,7 @@
     private var fullUntil = Duration.ZERO
     private var unreachableUntil = Duration.ZERO
     private var unreachableCount = 0
+    internal val rejectedShare = RejectedShare(clock)
     private val pending = HashMap<Long, Duration>()
     private var nextTicket = 0L
 
--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/routing/TargetSampler.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/routing/TargetSampler.kt
@@ -67,6 +67,11 @@
         areRecordsOld: Boolean = false,
     ): ChosenTarget<Connection> {
         fun factor(answer: ProbeAnswer<Connection>) = factor(answer, transferBytes, areRecordsOld)
+
+        fun comparedFactor(answer: ProbeAnswer<Connection>) =
+            factor(answer) *
+                answer.candidate.health.rejectedShare
+                    .factor()
         val ranked = probeOrder(reachable(candidates))
         val answers = mutableListOf<ProbeAnswer<Connection>>()
         var probed = 0
@@ -77,7 +82,7 @@
                 if (group.isEmpty()) break
                 probed += group.size
                 answers += probeAll(group, service)
-                val best = answers.filter { it.candidate.allowance == TargetAllowance.OPEN }.minOfOrNull(::factor)
+                val best = answers.filter { it.candidate.allowance == TargetAllowance.OPEN }.minOfOrNull(::comparedFactor)
                 if (best != null && best < acceptableFactor) break
             }
         } catch (exception: CancellationException) {
@@ -86,7 +91,7 @@
         } finally {
             activeChoices--
         }
-        val best = answers.minWithOrNull(compareBy({ it.candidate.allowance }, { factor(it) }))
+        val best = answers.minWithOrNull(compareBy({ it.candidate.allowance }, { comparedFactor(it) }))
         answers.filter { it !== best }.forEach { release(it.probe.connection) }
         if (best == null) return chooseWithoutProbe(candidates, probed)
         return ChosenTarget(best.candidate, best.probe.connection, factor(best), best.probe.sample.excess, probed)
@@ -140,7 +145,13 @@
         candidates: List<TargetCandidate>,
         probed: Int,
     ): ChosenTarget<Connection> {
-        val chosen = reachable(candidates).shuffled(random).minWith(compareBy({ it.allowance }, { recentFactor(it) }))
+        val chosen =
+            reachable(candidates).shuffled(random).minWith(
+                compareBy({ it.allowance }, {
+                    recentFactor(it) *
+                        it.health.rejectedShare.factor()
+                }),
+            )
         return ChosenTarget(chosen, null, recentFactor(chosen), recentSample(chosen)?.excess ?: 0, probed)
     }
 
@@ -159,7 +170,7 @@
 
     /** Sorts by penalty, healthy targets first; the sort is stable, so that equals stay in the given random order. */
     private fun byPenalty(candidates: List<TargetCandidate>): List<TargetCandidate> =
-        candidates.sortedBy { it.health.penalty() + if (it.health.isFull) FULL_PENALTY else 0.0 }
+        candidates.sortedBy { it.health.penalty() * it.health.rejectedShare.factor() + if (it.health.isFull) FULL_PENALTY else 0.0 }
 
     private fun factor(
         answer: ProbeAnswer<Connection>,
--- a/goldcrestquay/src/test/kotlin/dev/goldcrestquay/spread/ReplayedService.kt
+++ b/goldcrestquay/src/test/kotlin/dev/goldcrestquay/spread/ReplayedService.kt
@@ -73,6 +73,11 @@
             rejections++
             return SendResult.Refused(Refusal.SHEDDING)
         }
+        return run(work)
+    }
+
+    /** Runs a request that was accepted. */
+    suspend fun run(work: Duration): SendResult<String> {
         running++
         var left = work
         try {
@@ -102,6 +107,7 @@
     private val route: PlannedRoute = plannedRoute(RequestKind.SAFE, attempts = 3).copy(latencyObjective = 206.milliseconds),
     slots: Int = 2,
     retryLimits: RetryLimits = RetryLimits(0.2, 3.0, 10.seconds),
+    steersByRejections: Boolean = false,
 ) {
     /** What happens, whatever is decided. */
     val random = Random(7)
@@ -111,8 +117,7 @@
         List(targetCount) { ReplayedTarget(registeredTarget("t$it").copy(slots = slots), Random(it)) }.associateBy { it.registered.id }
     val budget = FleetRetryBudget({ retryLimits }, ::now) { 1 }
     val crashes = CrashTable(::now)
-    var probes = 0
-        private set
+    val probed = mutableListOf<String>()
     val table: TargetTable
     val forwarder: RequestForwarder<String, String>
 
@@ -135,7 +140,7 @@
         val probeBudget = ProbeBudget({ 60.0 }, ::now) { 1 }
         val sampler =
             TargetSampler<String>(::now, decisionRandom, scope.backgroundScope, probeBudget, { target, _ ->
-                probes++
+                probed += target.id
                 delay(2)
                 ProbeResult(targets.getValue(target.id).load, target.id)
             }) { }
@@ -152,6 +157,7 @@
                 TargetReach(::now),
                 peers,
                 stop,
+                steersByRejections = { steersByRejections },
             ) {
             }
         forwarder = RequestForwarder(tables, sampler, ::now, decisionRandom) { events += it }
--- a/goldcrestquay/src/test/kotlin/dev/goldcrestquay/spread/SecondSendTest.kt
+++ b/goldcrestquay/src/test/kotlin/dev/goldcrestquay/spread/SecondSendTest.kt
@@ -193,10 +193,10 @@
             val full = service()
             val others =
                 full.targets.values.map { launch { it.serve(10.seconds) } } + full.targets.values.map { launch { it.serve(10.seconds) } }
-            val probesBefore = full.probes
+            val probesBefore = full.probed.size
             full.forward { it.serve(10.seconds) }
             // Once for the first send, once when it is late, and once before it fails.
-            (full.probes - probesBefore) shouldBeLessThanOrEqual 3 * 16
+            (full.probed.size - probesBefore) shouldBeLessThanOrEqual 3 * 16
             full.events.filterIsInstance<ForwardEvent.SentTwice>().shouldBeEmpty()
             others.forEach { it.cancel() }
         }
