Prefer a subset of targets on each entry VM

Cause: in a fleet of many entry VMs each sees few requests and probed targets at random, most over new connections. Change: where the settings ask that scarce room is shared, each VM probes about 8 targets of a service in its data centre first, by rendezvous order, so that every target is preferred by equally many VMs. It is an order, not a limit; without the setting nothing changes.

--- a/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/GatewayNode.kt
+++ b/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/GatewayNode.kt
@@ -30,6 +30,7 @@
 import dev.goldcrestquay.routing.TargetReachMonitor
 import dev.goldcrestquay.routing.TargetSampler
 import dev.goldcrestquay.routing.TargetTable
+import dev.goldcrestquay.spread.TargetSubset
 import io.vertx.core.Context
 import io.vertx.core.Vertx
 import io.vertx.core.http.HttpServerRequest
@@ -146,7 +147,8 @@
     private val reach = TargetReach(clock)
     private val probe = reach.observe(targetExchange::probe)
     private val reachMonitor = TargetReachMonitor(reach, state, members, random, probe, pool::release, notices, reports.fleet)
-    private val sampler = TargetSampler(clock, random, scope, probeBudget, probe, pool::release)
+    private val subset = TargetSubset(settings.self.name) { if (settings.sharesScarceRoom) settledNeighbours() else emptyList() }
+    private val sampler = TargetSampler(clock, random, scope, probeBudget, probe, subset::preferred, pool::release)
     private val refresher = RecordRefresher(state, storeReader, clock, scope, reports.fleet)
     private val plannedStop = PlannedStop(clock) { settings.grace }
     private val relayPeers = RelayPeers(members, random)
@@ -242,6 +244,9 @@
     /** The names of the live members, or none before [isSettled]. */
     private fun settledMembers(): List<String> = if (isSettled) members.alive.map { it.name } else emptyList()
 
+    private fun settledNeighbours(): List<String> =
+        if (isSettled) members.alive.filter { it.dataCentre == settings.self.dataCentre }.map { it.name } else emptyList()
+
     private fun reportError(
         @Suppress("unused") context: CoroutineContext,
         error: Throwable,
--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/routing/TargetSampler.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/routing/TargetSampler.kt
@@ -34,6 +34,8 @@
  * Machines become several times slower for about as long as one request takes, so older load figures say little, while probing a
  * few targets at once costs one round trip within the data centre. Targets of other data centres are probed when none in the
  * same data centre is good enough.
+ *
+ * @param preferred returns which targets, by identifier, are probed before others of equal health in the same data centre, given their number.
  */
 public class TargetSampler<Connection>(
     private val clock: Clock,
@@ -41,6 +43,7 @@
     private val scope: CoroutineScope,
     private val budget: ProbeBudget,
     private val probe: suspend (RegisteredTarget, PlannedService) -> ProbeResult<Connection>?,
+    private val preferred: (targetCount: Int) -> (String) -> Boolean = { { false } },
     public val release: (Connection) -> Unit,
 ) {
     private class ProbeAnswer<Connection>(
@@ -136,7 +139,8 @@
     private fun probeOrder(candidates: List<TargetCandidate>): List<TargetCandidate> {
         val (cold, warm) = candidates.shuffled(random).partition { it.isCold }
         val (nearby, distant) = warm.partition { it.isLocal }
-        val localRanked = byPenalty(nearby)
+        val isPreferred = preferred(nearby.size)
+        val localRanked = byPenalty(nearby.sortedBy { !isPreferred(it.target.id) })
         return localRanked.take(ROUND_SIZES.first()) + cold + localRanked.drop(ROUND_SIZES.first()) + byPenalty(distant)
     }
 
