Merge the second send, the share of rejections and the subsets of targets

Second sends are made only where the settings state guarantees without rollouts: a version is judged by its slow answers, which a second send would cancel and hide.

--- a/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/GatewayNode.kt
+++ b/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/GatewayNode.kt
@@ -33,6 +33,7 @@
 import dev.goldcrestquay.routing.TargetReachMonitor
 import dev.goldcrestquay.routing.TargetSampler
 import dev.goldcrestquay.routing.TargetTable
+import dev.goldcrestquay.spread.TargetSubset
 import dev.goldcrestquay.usage.UsageEvent
 import dev.goldcrestquay.usage.UsageLinks
 import dev.goldcrestquay.usage.UsageReporting
@@ -65,8 +66,10 @@
  * @property grace how long the process may go on running after it was asked to stop.
  * @property retryLimits the limits on retries.
  * @property probesPerSecond the probes that one target may get a second, from all entry VMs together.
- * @property sharesScarceRoom whether requests of a service that has too little room are ordered by urgency, at one level in all entry VMs.
+ * @property sharesScarceRoom whether requests of a service that has too little room are ordered by urgency, at one level in all entry VMs,
+ *   and whether each entry VM prefers a part of the targets and those that reject little.
  * @property usage how usage is reported to the platform; null when it isn't.
+ * @property maySendTwice whether lookups with a short deadline may go to a second target while the first still works on them.
  */
 data class GatewaySettings(
     val self: FleetMember,
@@ -79,6 +82,7 @@
     val probesPerSecond: Double,
     val sharesScarceRoom: Boolean = false,
     val usage: UsageSettings? = null,
+    val maySendTwice: Boolean = false,
 ) {
     /** Whether a process with these settings can go on with [other] without a restart. */
     internal fun canChangeTo(other: GatewaySettings): Boolean =
@@ -172,7 +176,8 @@
     private val reach = TargetReach(clock)
     private val probe = reach.observe(targetExchange::probe)
     private val reachMonitor = TargetReachMonitor(reach, state, members, random, probe, pool::release, notices, reports.fleet)
-    private val sampler = TargetSampler(clock, random, scope, probeBudget, probe, pool::release)
+    private val subset = TargetSubset(settings.self.name) { if (settings.sharesScarceRoom) settledNeighbours() else emptyList() }
+    private val sampler = TargetSampler(clock, random, scope, probeBudget, probe, subset::preferred, pool::release)
     private val refresher = RecordRefresher(state, storeReader, clock, scope, reports.fleet)
     private val plannedStop = PlannedStop(clock) { settings.grace }
     private val relayPeers = RelayPeers(members, random)
@@ -189,6 +194,8 @@
             plannedStop = plannedStop,
             room = pressure?.let { ScarceRoom(clock, random, it) },
             recordRun = { organisation, sentAt -> usage?.recordRun(organisation, sentAt) },
+            steersByRejections = { settings.sharesScarceRoom },
+            maySendTwice = settings.maySendTwice,
             refreshRecords = refresher::refreshIfOld,
         )
     private val forwarder = RequestForwarder<OriginConnection, EdgeReply>(forwarderTables, sampler, clock, random, reports.request)
@@ -280,6 +287,9 @@
     /** The names of the live members, or none before [isSettled]. */
     private fun settledMembers(): List<String> = if (isSettled) members.alive.map { it.name } else emptyList()
 
+    private fun settledNeighbours(): List<String> =
+        if (isSettled) members.alive.filter { it.dataCentre == settings.self.dataCentre }.map { it.name } else emptyList()
+
     private fun reportError(
         @Suppress("unused") context: CoroutineContext,
         error: Throwable,
--- a/goldcrestquay-platform-standins/src/main/kotlin/dev/goldcrestquay/standins/platform/DeploymentDocuments.kt
+++ b/goldcrestquay-platform-standins/src/main/kotlin/dev/goldcrestquay/standins/platform/DeploymentDocuments.kt
@@ -22,6 +22,7 @@
      * Returns a plan that routes the paths of [kinds], such as `/safe/`, of `shop.example` to [service], each with its request kind.
      *
      * @param timeout the timeout of each route, as a duration such as `2000ms`.
+     * @param objective the latency objective of each route, also as a duration.
      * @param tenants the keys of each tenant by its name, or null for a plan without tenants.
      * @param publicKinds the [kinds] whose routes need no key.
      */
@@ -29,13 +30,15 @@
         version: Int,
         service: String = "shop",
         timeout: String = "2000ms",
+        objective: String = "400ms",
         kinds: List<String> = listOf("safe", "unsafe", "upload"),
         tenants: Map<String, List<String>>? = null,
         publicKinds: Set<String> = emptySet(),
     ): String {
         val rows =
             kinds.joinToString(",") { kind ->
-                """["route-$kind","shop.example","/$kind/","$kind","$timeout","400ms",1,"$service",2,null${if (tenants == null) "" else ",${kind in publicKinds}"}]"""
+                val public = if (tenants == null) "" else ",${kind in publicKinds}"
+                """["route-$kind","shop.example","/$kind/","$kind","$timeout","$objective",1,"$service",2,null$public]"""
             }
         val tenantRows =
             tenants?.entries?.joinToString(",", """"tenants":{"columns":["name","api_keys","priority"],"rows":[""", "]},") { (name, keys) ->
@@ -53,6 +56,7 @@
      * Returns the settings of an entry VM on [host] that listens on four consecutive ports from [firstPort] on.
      *
      * @param usage how usage is reported; not at all when null.
+     * @param guarantees the parts of the platform's rules in force as a JSON array, or null to state none.
      */
     fun settings(
         name: String,
@@ -61,7 +65,9 @@
         seeds: List<String> = emptyList(),
         host: String = "127.0.0.1",
         usage: UsageBounds? = null,
+        guarantees: String? = null,
     ): String {
+        val rules = if (guarantees == null) "" else ""","guarantees":$guarantees"""
         val usageBounds =
             usage?.run { ""","report_window":"$window","usage_late":"$dueAfter","lease_time":"$leaseTime"""" }.orEmpty()
         val cloud =
@@ -73,6 +79,6 @@
             """"seeds":[$seedList],""" +
             """"bounds":{"grace":"6s","retry_budget_ratio":0.2,"retry_budget_slack":56,"retry_window":"10s",""" +
             """"probes_per_s":60$usageBounds},""" +
-            """"platform":{"address":"127.0.0.1:$storePort"}$cloud}"""
+            """"platform":{"address":"127.0.0.1:$storePort"}$cloud$rules}"""
     }
 }
--- a/goldcrestquay-platform-standins/src/test/kotlin/dev/goldcrestquay/standins/platform/LoopbackEntryVm.kt
+++ b/goldcrestquay-platform-standins/src/test/kotlin/dev/goldcrestquay/standins/platform/LoopbackEntryVm.kt
@@ -36,8 +36,10 @@
     suspend fun start(
         heartbeats: Map<String, String>,
         timeout: String = "2000ms",
-        plan: String = DeploymentDocuments.plan(version = 1, timeout = timeout),
+        objective: String = "400ms",
+        plan: String = DeploymentDocuments.plan(version = 1, timeout = timeout, objective = objective),
         usage: UsageBounds? = null,
+        guarantees: String? = null,
     ) {
         store.start()
         store.write("keyed.op", "config", plan)
@@ -46,7 +48,7 @@
         val settings =
             PlatformSettings
                 .read(
-                    DeploymentDocuments.settings("entry", firstPort, store.port, usage = usage),
+                    DeploymentDocuments.settings("entry", firstPort, store.port, usage = usage, guarantees = guarantees),
                 ).getOrElse { error(it) }
         val context = vertx.orCreateContext
         node = PlatformNode(vertx, context, settings, TimeSource.Monotonic.asClock(), GatewayReports({ }, { }, { }), Random(1))
--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/routing/RequestForwarder.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/routing/RequestForwarder.kt
@@ -12,6 +12,8 @@
 import dev.goldcrestquay.move.VersionEvidence
 import dev.goldcrestquay.overload.RoomRequest
 import dev.goldcrestquay.overload.ScarceRoom
+import dev.goldcrestquay.spread.allowsSecondSend
+import dev.goldcrestquay.spread.isWorthSecondSend
 import dev.goldcrestquay.tenant.CallerCredentials
 import dev.goldcrestquay.tenant.ShareRoom
 import dev.goldcrestquay.tenant.Tenancy
@@ -33,6 +35,8 @@
  * @property plannedStop which requests this entry VM still takes while it stops.
  * @property recordRun is called for each attempt that a target began to run, with the name of the tenant and the time it was sent at.
  * @property room decides about room at services that have too little of it; null where each request is judged by itself.
+ * @property steersByRejections whether targets that reject requests although they have a free slot get fewer of them.
+ * @property maySendTwice whether lookups with a short deadline may go to a second target while the first still works on them.
  * @property refreshRecords is called before a request is placed, and brings old records up to date if that can be done soon.
  */
 public class ForwarderTables(
@@ -47,6 +51,8 @@
     public val plannedStop: PlannedStop,
     public val recordRun: (tenant: String, sentAt: Duration) -> Unit = { _, _ -> },
     public val room: ScarceRoom? = null,
+    public val steersByRejections: () -> Boolean = { false },
+    public val maySendTwice: Boolean = true,
     public val refreshRecords: suspend () -> Unit,
 )
 
@@ -69,6 +75,7 @@
     private val callerAges = CallerAgeEstimator()
     private val tenantGate = TenantGate(tables.state)
     private val shareRoom: ShareRoom = TenantShares(clock)::share
+    private val secondSends = SecondSends(tables.budget, statistics, clock, report)
 
     /** Forwards [request] and returns its outcome; waits for the first load of the shared state if necessary. */
     public suspend fun forward(request: ForwardRequest<Connection, Reply>): ForwardOutcome<Reply> {
@@ -165,6 +172,11 @@
 
         private val callerAge = callerAges.estimate(route.name, request.deadline)
 
+        private val maySendTwice = tables.maySendTwice && allowsSecondSend(route, request.deadline?.plus(callerAge))
+
+        /** Whether one of two attempts under way has a good answer, so that the other is cancelled. */
+        private var isRaceDecided = false
+
         private val remaining: Duration get() = timeLimit - (clock() - request.arrivedAt)
 
         private val objectiveLeft: Duration get() = (route.latencyObjective ?: timeLimit) - callerAge - (clock() - request.arrivedAt)
@@ -211,8 +223,8 @@
                 val sendOutcome = attempt(attempt, chosen, expected, roomRequest)
                 last = combineOutcomes(last, sendOutcome.outcome)
                 if (!sendOutcome.mayRetry) return last
-                if (sendOutcome.isUnreachable) unreachable++
-                if (sendOutcome.reachedTarget) attempt++
+                unreachable += sendOutcome.unreachable
+                attempt += sendOutcome.targetsReached
             }
             val neverSent = unreachable == attempt - 1 && request.origin == null && tables.reach.isDoubtful
             return (if (neverSent) relay(maximumAttempts) else null) ?: last
@@ -289,12 +301,6 @@
 
         private fun blockedFor(): Duration? = if (tables.crashes.isEmpty) null else tables.crashes.blockedFor(request.fingerprint)
 
-        /** Combines the outcomes of two attempts: once a request may have run, its outcome is never [ForwardOutcome.NotRun]. */
-        private fun combineOutcomes(
-            earlier: ForwardOutcome<Reply>,
-            newer: ForwardOutcome<Reply>,
-        ): ForwardOutcome<Reply> = if (newer is ForwardOutcome.NotRun && earlier !is ForwardOutcome.NotRun) earlier else newer
-
         private fun refuse(
             chosen: ChosenTarget<Connection>,
             view: AdmissionView,
@@ -329,11 +335,47 @@
                 .also { hasAskedForRoom = true }
         }
 
+        /** Sends the request to [chosen], and to a second target as well while it takes longer than usual, where the plan calls for it. */
         private suspend fun attempt(
             number: Int,
             chosen: ChosenTarget<Connection>,
             expected: Duration,
             roomRequest: RoomRequest?,
+        ): SendOutcome<Reply> {
+            if (!maySendTwice) return attemptOnce(number, chosen, expected, roomRequest)
+            val terms = SecondSendTerms(request.id, route.name, service.name, clock(), expected, maximumAttempts - number) { remaining }
+            return secondSends.attempt(
+                terms,
+                { attemptOnce(number, chosen, expected, roomRequest) },
+                { attemptSecond(number + 1, terms) },
+            ) {
+                isRaceDecided = true
+            }
+        }
+
+        /** Sends the request to a second target with a free slot, or returns null when there is none. */
+        private suspend fun attemptSecond(
+            number: Int,
+            terms: SecondSendTerms,
+        ): SendOutcome<Reply>? {
+            // A request that may end its targets goes to one at a time.
+            if (tables.crashes.crashes(request.fingerprint) > 0 || !tables.plannedStop.allows(remaining)) return null
+            val candidates = tables.targets.candidates(service.name, tried).ifEmpty { return null }
+            val chosen = sampler.choose(candidates, service, transferBytes, acceptableFactor(), tables.state.age() > OLD_RECORDS_AGE)
+            val expected = statistics.serviceTime(route.name) * chosen.expectedFactor
+            val isWorthIt = chosen.connection != null && isWorthSecondSend(chosen.excess, expected, remaining)
+            if (!isWorthIt || isSurpassed(chosen.candidate, candidates) || !secondSends.tryTake(terms)) {
+                chosen.connection?.let { sampler.release(it) }
+                return null
+            }
+            return attemptOnce(number, chosen, expected, roomRequest = null)
+        }
+
+        private suspend fun attemptOnce(
+            number: Int,
+            chosen: ChosenTarget<Connection>,
+            expected: Duration,
+            roomRequest: RoomRequest?,
         ): SendOutcome<Reply> {
             val target = chosen.candidate.target
             tried += target.id
@@ -353,7 +395,7 @@
                     ?: SendResult.Broken(ResultCode.DEADLINE_EXCEEDED)
             } finally {
                 request.isCancellable = true
-                if (result == null) recorder.recordInconclusive(chosen.candidate, tickets)
+                if (result == null) recordUnfinished(chosen.candidate, tickets, started)
                 recordRun(result, sentAt, started)
             }
             val took = clock() - started
@@ -361,9 +403,21 @@
             report(ForwardEvent.AttemptEnded(request.id, target, resultName(result), took, crashCount))
             recorder.recordResult(request.id, route.name, chosen, tickets, result, took)
             roomRequest?.let { tables.room?.recordUse(it, roomUse(result), took) }
+            if (maySendTwice) secondSends.recordResult(route.name, result, took)
             return outcomeOf(target, result)
         }
 
+        /** Records an attempt that was cancelled: another target has answered, or the caller has left. */
+        private fun recordUnfinished(
+            candidate: TargetCandidate,
+            tickets: AttemptTickets,
+            startedAt: Duration,
+        ) {
+            if (!isRaceDecided) return recorder.recordInconclusive(candidate, tickets)
+            recorder.recordOvertaken(candidate, tickets)
+            secondSends.recordOvertaken(route.name, clock() - startedAt)
+        }
+
         /** Counts a run of the caller's organisation unless the request was not sent, or its target proved that it did not run it. */
         private fun recordRun(
             result: SendResult<Reply>?,
@@ -410,8 +464,8 @@
                     SendOutcome(
                         notRun(ResultCode.TARGET_REFUSED),
                         mayRetry = true,
-                        reachedTarget = result.refusal != Refusal.WITHDRAWN,
-                        isUnreachable = result.refusal == Refusal.CONNECTION_REFUSED,
+                        targetsReached = if (result.refusal == Refusal.WITHDRAWN) 0 else 1,
+                        unreachable = if (result.refusal == Refusal.CONNECTION_REFUSED) 1 else 0,
                     )
                 is SendResult.Broken -> SendOutcome(ForwardOutcome.Unknown(result.code), route.kind.idempotent)
             }
@@ -444,13 +498,6 @@
             is SendResult.Broken -> result.code.name
         }
 
-    private class SendOutcome<Reply>(
-        val outcome: ForwardOutcome<Reply>,
-        val mayRetry: Boolean,
-        val reachedTarget: Boolean = true,
-        val isUnreachable: Boolean = false,
-    )
-
     private companion object {
         /** The shortest time left with which a request is sent: a network round trip. */
         val MINIMUM_TIME_LEFT = 15.milliseconds
--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/routing/TargetHealth.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/routing/TargetHealth.kt
@@ -1,6 +1,7 @@
 package dev.goldcrestquay.routing
 
 import dev.goldcrestquay.link.Clock
+import dev.goldcrestquay.spread.RejectedShare
 import kotlin.math.exp
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -21,6 +22,7 @@
     private var fullUntil = Duration.ZERO
     private var unreachableUntil = Duration.ZERO
     private var unreachableCount = 0
+    internal val rejectedShare = RejectedShare(clock)
     private val pending = HashMap<Long, Duration>()
     private var nextTicket = 0L
 
@@ -109,6 +111,13 @@
         pending.remove(ticket)
     }
 
+    /** Records a request that was given up because another target, asked later, answered first. */
+    public fun recordOvertaken(ticket: Long) {
+        val overdueAt = pending.remove(ticket) ?: return
+        failures = decayedFailures(clock()) + if (overdueAt < clock()) 1.0 else OVERTAKEN_FAILURE_SHARE
+        failuresAt = clock()
+    }
+
     /** Records a request that the target refused because it is full. */
     public fun recordShed(ticket: Long) {
         pending.remove(ticket)
@@ -135,6 +144,9 @@
         /** The penalty of one fresh failure or overdue request, large enough that any healthy target is preferred. */
         const val FAILURE_PENALTY = 6.0
 
+        /** The part of a failure for which an overtaken request counts before it is overdue: its target may be slow for a moment only. */
+        const val OVERTAKEN_FAILURE_SHARE = 0.5
+
         /** A success removes half of the weight of earlier failures, not all of it, since some targets fail only part of their requests. */
         const val FAILURE_SHARE_AFTER_SUCCESS = 0.5
 
--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/routing/TargetSampler.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/routing/TargetSampler.kt
@@ -36,6 +36,8 @@
  * Machines become several times slower for about as long as one request takes, so older load figures say little, while probing a
  * few targets at once costs one round trip within the data centre. Targets of other data centres are probed when none in the
  * same data centre is good enough.
+ *
+ * @param preferred returns which targets, by identifier, are probed before others of equal health in the same data centre, given their number.
  */
 public class TargetSampler<Connection>(
     private val clock: Clock,
@@ -43,6 +45,7 @@
     private val scope: CoroutineScope,
     private val budget: ProbeBudget,
     private val probe: suspend (RegisteredTarget, PlannedService) -> ProbeResult<Connection>?,
+    private val preferred: (targetCount: Int) -> (String) -> Boolean = { { false } },
     public val release: (Connection) -> Unit,
 ) {
     private class ProbeAnswer<Connection>(
@@ -69,6 +72,11 @@
         areRecordsOld: Boolean = false,
     ): ChosenTarget<Connection> {
         fun factor(answer: ProbeAnswer<Connection>) = factor(answer, transferBytes, areRecordsOld)
+
+        fun comparedFactor(answer: ProbeAnswer<Connection>) =
+            factor(answer) *
+                answer.candidate.health.rejectedShare
+                    .factor()
         val ranked = probeOrder(reachable(candidates))
         val answers = mutableListOf<ProbeAnswer<Connection>>()
         var probed = 0
@@ -79,7 +87,7 @@
                 if (group.isEmpty()) break
                 probed += group.size
                 answers += probeAll(group, service)
-                val best = answers.filter { it.candidate.allowance == TargetAllowance.OPEN }.minOfOrNull(::factor)
+                val best = answers.filter { it.candidate.allowance == TargetAllowance.OPEN }.minOfOrNull(::comparedFactor)
                 if (best != null && best < acceptableFactor) break
             }
         } catch (exception: CancellationException) {
@@ -88,7 +96,7 @@
         } finally {
             activeChoices--
         }
-        val best = answers.minWithOrNull(compareBy({ it.candidate.allowance }, { factor(it) }))
+        val best = answers.minWithOrNull(compareBy({ it.candidate.allowance }, { comparedFactor(it) }))
         answers.filter { it !== best }.forEach { release(it.probe.connection) }
         if (best == null) return chooseWithoutProbe(candidates, probed)
         return ChosenTarget(
@@ -140,7 +148,8 @@
     private fun probeOrder(candidates: List<TargetCandidate>): List<TargetCandidate> {
         val (cold, warm) = candidates.shuffled(random).partition { it.isCold }
         val (nearby, distant) = warm.partition { it.isLocal }
-        val localRanked = byPenalty(nearby)
+        val isPreferred = preferred(nearby.size)
+        val localRanked = byPenalty(nearby.sortedBy { !isPreferred(it.target.id) })
         return localRanked.take(ROUND_SIZES.first()) + cold + localRanked.drop(ROUND_SIZES.first()) + byPenalty(distant)
     }
 
@@ -149,7 +158,10 @@
         candidates: List<TargetCandidate>,
         probed: Int,
     ): ChosenTarget<Connection> {
-        val chosen = reachable(candidates).shuffled(random).minWith(compareBy({ it.allowance }, { recentFactor(it) }))
+        val chosen =
+            reachable(candidates).shuffled(random).minWith(
+                compareBy({ it.allowance }, { recentFactor(it) * it.health.rejectedShare.factor() }),
+            )
         val sample = recentSample(chosen)
         return ChosenTarget(chosen, null, recentFactor(chosen), sample?.excess ?: 0, probed, sample?.expectedFactor() ?: UNKNOWN_FACTOR)
     }
@@ -169,7 +181,7 @@
 
     /** Sorts by penalty, healthy targets first; the sort is stable, so that equals stay in the given random order. */
     private fun byPenalty(candidates: List<TargetCandidate>): List<TargetCandidate> =
-        candidates.sortedBy { it.health.penalty() + if (it.health.isFull) FULL_PENALTY else 0.0 }
+        candidates.sortedBy { it.health.penalty() * it.health.rejectedShare.factor() + if (it.health.isFull) FULL_PENALTY else 0.0 }
 
     private fun factor(
         answer: ProbeAnswer<Connection>,
