Refuse a request whose time has passed while it was placed

With a time left below zero retryDelay threw, so the caller got an error in place of a refusal, and the probe's connection was not released. Change: a time left below zero counts as none; the comment no longer says that time for the work is left. Result: the new test of ScarceRoomTest threw before and passes.

--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/overload/ScarceRoom.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/overload/ScarceRoom.kt
@@ -128,15 +128,17 @@
  * The delay after which the caller of a refused [request] is to return, between one and two times a base; [spread] is from 0 to 1.
  *
  * The base grows with the time by which the target found is too slow and with the share of the kind that yields, so that urgent callers
- * return first. The delay is at most a third of the time that the caller has left, since callers do not wait longer, and leaves
- * time for the work where that can be.
+ * return first. The delay is at most a third of the time that the caller has left, since callers do not wait longer; without any
+ * time left it is zero.
  */
 internal fun retryDelay(
     request: RoomRequest,
     share: Double,
     spread: Double,
 ): Duration {
-    val shortfall = (request.expected - request.objectiveLeft.coerceIn(Duration.ZERO, request.timeLeft)).coerceAtLeast(Duration.ZERO)
+    // Probes and an event loop that is late may outlast the time left.
+    val objectiveLeft = request.objectiveLeft.coerceIn(Duration.ZERO, request.timeLeft.coerceAtLeast(Duration.ZERO))
+    val shortfall = (request.expected - objectiveLeft).coerceAtLeast(Duration.ZERO)
     val longest = request.callerTimeLeft / LONGEST_SHARE_OF_TIME
     val base = maxOf(shortfall, longest * (1.0 - share), SHORTEST_RETRY_DELAY)
     return minOf(base * (1.0 + spread), longest * (SMALLEST_SPREAD_SHARE + (1.0 - SMALLEST_SPREAD_SHARE) * spread))
--- a/goldcrestquay/src/test/kotlin/dev/goldcrestquay/overload/ScarceRoomTest.kt
+++ b/goldcrestquay/src/test/kotlin/dev/goldcrestquay/overload/ScarceRoomTest.kt
@@ -115,4 +115,13 @@
         reason(request(expected = 900)) shouldBe RoomRefusalReason.NO_TIME
         pressure.loads().single().pressure shouldBe 0.5
     }
+
+    /** The load pattern of an entry VM that is late: the probes took longer than the rest of the caller's time. */
+    @Test
+    fun `a request whose time has passed is refused without a delay`() {
+        val passed = request(timeLeft = -5, objectiveLeft = -300)
+        val decision = room.decide(passed) as RoomDecision.Refused
+        decision.reason shouldBe RoomRefusalReason.NO_TIME
+        decision.retryAfter shouldBe Duration.ZERO
+    }
 }
