Bound the loads that peers report

Cause: counts of peers were added as they came. One of 1e307 made the sum infinite, which JSON can't hold, so that each request of the entry VMs above failed until the report was 2 s old; negative ones hid the pressure. Change: counts below zero count as zero, and none as more than 1e12.

--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/overload/FleetPressure.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/overload/FleetPressure.kt
@@ -46,7 +46,7 @@
         process: String,
         loads: List<ServiceLoad>,
     ) {
-        if (loads.isEmpty()) reported -= process else reported[process] = Reported(loads, clock())
+        if (loads.isEmpty()) reported -= process else reported[process] = Reported(loads.map { it.bounded() }, clock())
     }
 
     /** The levels to send to peers: this entry VM's decision when it [isLeader], or else what it has adopted. */
--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/overload/ServiceLoad.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/overload/ServiceLoad.kt
@@ -41,10 +41,26 @@
             cut = rounded(cut),
         )
 
+    /** The load with counts that can be: a sum that is infinite could not be sent on. */
+    internal fun bounded(): KindLoad =
+        copy(
+            arrivals = bounded(arrivals),
+            workMilliseconds = bounded(workMilliseconds),
+            yielded = bounded(yielded),
+            refused = bounded(refused),
+            rejected = bounded(rejected),
+            cut = bounded(cut),
+        )
+
+    private fun bounded(count: Double) = if (count > 0.0) minOf(count, LARGEST_COUNT) else 0.0
+
     private fun rounded(count: Double) = round(count * DECIMALS) / DECIMALS
 
     private companion object {
         const val DECIMALS = 100
+
+        /** More than the milliseconds of work that any fleet is asked for in a second. */
+        const val LARGEST_COUNT = 1e12
     }
 
     internal operator fun plus(other: KindLoad): KindLoad =
@@ -68,6 +84,8 @@
 
     internal fun rounded(): ServiceLoad = copy(kinds = kinds.map { it.rounded() })
 
+    internal fun bounded(): ServiceLoad = copy(kinds = kinds.map { it.bounded() })
+
     /** The pressure: the share of the requests and attempts let through that found no room; 0 while there is room for all. */
     internal val pressure: Double
         get() {
--- a/goldcrestquay/src/test/kotlin/dev/goldcrestquay/overload/FleetPressureTest.kt
+++ b/goldcrestquay/src/test/kotlin/dev/goldcrestquay/overload/FleetPressureTest.kt
@@ -11,6 +11,7 @@
 import io.kotest.matchers.shouldBe
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.test.runTest
+import kotlinx.serialization.builtins.ListSerializer
 import kotlinx.serialization.json.Json
 import org.junit.jupiter.api.Test
 import kotlin.time.Duration.Companion.milliseconds
@@ -78,6 +79,22 @@
         (pressure.share("shop", "a") in 0.4..0.55) shouldBe true
     }
 
+    @Test
+    fun `counts of a peer that can't be are neither added up nor passed on as they are`() {
+        val pressure = FleetPressure({ now })
+        val (huge, negative) = listOf(1e307, -1e307).map { KindLoad("a", 1, false, it, it, it, it, it, it) }
+        repeat(20) { pressure.merge("vm-$it", listOf(ServiceLoad("shop", listOf(huge)))) }
+        Json.encodeToString(ListSerializer(ServiceLoad.serializer()), pressure.loads())
+        pressure.merge("vm-20", listOf(ServiceLoad("other", listOf(negative))))
+        val other = pressure.loads().single { it.service == "other" }
+        other.kinds.single().let { listOf(it.arrivals, it.workMilliseconds, it.refused) } shouldBe listOf(0.0, 0.0, 0.0)
+    }
+
+        pressure.share("shop", "a") shouldBeLessThan 0.5
+        now += 60.seconds
+        pressure.share("shop", "a") shouldBe 1.0
+    }
+
     /** The load pattern of a large fleet: no entry VM sees enough requests to judge by itself. */
     @Test
     fun `all entry VMs of a large fleet soon hold the leader's level and lose it without peers`() =
