Send no peer the load that it reported

Cause: without a leader, as while the store fails, the first entry VMs in the common order ask each other. Each added what the other had reported, its own load included, so that sums grew with each exchange and never ended. Change: a report leaves out what its receiver reported; reports are kept by the peer's address, which the sender knows. Result: the new test of FleetPressureTest failed before (70 arrivals of 20) and passes.

--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/machine/FleetReplicator.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/machine/FleetReplicator.kt
@@ -143,7 +143,7 @@
         val receivedAt = clock()
         members.recordHeartbeat(request.sender, request.observed)
         evidence.merge(request.evidence)
-        parts.pressure?.merge(request.sender.name, request.loads)
+        parts.pressure?.merge(request.sender.peerAddress.toString(), request.loads)
         if (parts.crashes.merge(request.crashes, request.sender.peerAddress)) signal()
         if (request.isLeader && (leader == null || isStale())) changeLeader(request.sender.peerAddress)
         val known = request.known?.takeIf { it.process == process }
@@ -409,7 +409,7 @@
                 crashes = crashes,
                 completeThrough = if (known == null) state.completeThrough() else emptyMap(),
                 epoch = state.epoch,
-                loads = if (isLeader) emptyList() else parts.pressure?.loads().orEmpty(),
+                loads = if (isLeader) emptyList() else parts.pressure?.loads(peer.toString()).orEmpty(),
             )
         val reply = withTimeoutOrNull(hold + REPLY_MARGIN) { parts.exchange(peer, request) }
         if (reply == null) {
--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/overload/FleetPressure.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/overload/FleetPressure.kt
@@ -35,18 +35,19 @@
     private val adopted = HashMap<String, Adopted>()
     private var decidedAt = -Duration.INFINITE
 
-    /** The load of this entry VM and of all that report to it. */
-    public fun loads(): List<ServiceLoad> {
+    /** The load of this entry VM and of all that report to it but [receiver], which would count its own load twice. */
+    public fun loads(receiver: String? = null): List<ServiceLoad> {
         reported.values.removeIf { clock() - it.at > REPORT_LIFETIME }
-        return sumLoads(counter.loads() + reported.values.flatMap { it.loads }).map { it.rounded() }
+        val others = reported.filterKeys { it != receiver }.values
+        return sumLoads(counter.loads() + others.flatMap { it.loads }).map { it.rounded() }
     }
 
-    /** Adopts what [process] reports, in place of its earlier report. */
+    /** Adopts what [sender] reports, in place of its earlier report. */
     public fun merge(
-        process: String,
+        sender: String,
         loads: List<ServiceLoad>,
     ) {
-        if (loads.isEmpty()) reported -= process else reported[process] = Reported(loads.map { it.bounded() }, clock())
+        if (loads.isEmpty()) reported -= sender else reported[sender] = Reported(loads.map { it.bounded() }, clock())
     }
 
     /** The levels to send to peers: this entry VM's decision when it [isLeader], or else what it has adopted. */
--- a/goldcrestquay/src/test/kotlin/dev/goldcrestquay/overload/FleetPressureTest.kt
+++ b/goldcrestquay/src/test/kotlin/dev/goldcrestquay/overload/FleetPressureTest.kt
@@ -1,5 +1,6 @@
 package dev.goldcrestquay.overload
 
+import dev.goldcrestquay.machine.Access
 import dev.goldcrestquay.machine.FakeFleet
 import dev.goldcrestquay.machine.FakeStore
 import dev.goldcrestquay.machine.Feed
@@ -95,6 +96,27 @@
         pressure.share("shop", "a") shouldBe 1.0
     }
 
+    /** The load pattern of a store that fails for long: entry VMs without a leader ask each other. */
+    @Test
+    fun `entry VMs that ask each other do not count a load twice or for longer than it lasts`() =
+        runTest {
+            val store = FakeStore().apply { write(Feed.OPERATOR) { planRecord(1, it) } }
+            val fleet = FakeFleet(this, store, sharesScarceRoom = true)
+            repeat(2) { fleet.start(it + 1) }
+            delay(5.seconds)
+            store.access = { Access.REFUSED }
+            delay(4.seconds)
+            fleet.running.forEach { it.pressure?.merge("callers", load(5.0)) }
+            repeat(3) {
+                delay(500.milliseconds)
+                fleet.running.forEach { vm -> vm.pressure.arrivals() shouldBeLessThan 20.01 }
+            }
+            delay(5.seconds)
+            fleet.running.forEach { it.pressure.arrivals() shouldBe 0.0 }
+        }
+
+    private fun FleetPressure?.arrivals() = checkNotNull(this).loads().sumOf { it.arrivals }
+
     /** The load pattern of a large fleet: no entry VM sees enough requests to judge by itself. */
     @Test
     fun `all entry VMs of a large fleet soon hold the leader's level and lose it without peers`() =
