Forget the levels of services without requests

Cause: an entry VM's own level moves with requests only: one that was low at the end of a burst was as low at the next request an hour later. Levels, margins and turns of services and routes that no longer exist were kept for ever; what a follower adopts as well unless others ask it. The sizes of the tables have no test.

--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/overload/AdmissionLevel.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/overload/AdmissionLevel.kt
@@ -21,13 +21,16 @@
         private set
     private var movedAt = -Duration.INFINITE
 
+    /** The time since the last step. */
+    val age: Duration get() = clock() - movedAt
+
     /** The share that is taken, by route; empty while the service takes all. */
     var shares: Map<String, Double> = shares
         private set
 
     /** Moves the level by one step towards what [load] calls for, at most once in [STEP_INTERVAL]. */
     fun update(load: ServiceLoad) {
-        if (clock() - movedAt < STEP_INTERVAL) return
+        if (age < STEP_INTERVAL) return
         movedAt = clock()
         val pressure = if (load.arrivals < MINIMUM_ARRIVALS) 0.0 else load.pressure
         openness =
--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/overload/FleetPressure.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/overload/FleetPressure.kt
@@ -34,6 +34,7 @@
     private val fleetLevels = HashMap<String, AdmissionLevel>()
     private val adopted = HashMap<String, Adopted>()
     private var decidedAt = -Duration.INFINITE
+    private var forgottenAt = Duration.ZERO
 
     /** The load of this entry VM and of all that report to it but [receiver], which would count its own load twice. */
     public fun loads(receiver: String? = null): List<ServiceLoad> {
@@ -75,7 +76,9 @@
         service: String,
         route: String,
     ): Double {
-        val level = ownLevels.getOrPut(service) { AdmissionLevel(clock) }
+        forgetOldLevels()
+        val held = ownLevels[service]?.takeIf { it.age <= LEVEL_LIFETIME }
+        val level = held ?: AdmissionLevel(clock).also { ownLevels[service] = it }
         level.update(counter.load(service))
         val own = level.shares[route] ?: 1.0
         val fleet = adopted[service] ?: return own
@@ -84,6 +87,14 @@
         return (fleet.shares[route] ?: 1.0) * weight + own * (1.0 - weight)
     }
 
+    /** Forgets services that have got no requests or levels for long; an old level of one says nothing about its next requests. */
+    private fun forgetOldLevels() {
+        if (clock() - forgottenAt < LEVEL_LIFETIME) return
+        forgottenAt = clock()
+        ownLevels.values.removeIf { it.age > LEVEL_LIFETIME }
+        adopted.values.removeIf { clock() - it.decidedAt > LEVEL_LIFETIME }
+    }
+
     private fun decide() {
         if (clock() - decidedAt < AdmissionLevel.STEP_INTERVAL) return
         decidedAt = clock()
--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/overload/ScarceRoom.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/overload/ScarceRoom.kt
@@ -103,6 +103,7 @@
             turns -= kind
             return true
         }
+        if (turns.size > MAXIMUM_KINDS) turns.clear()
         val present = (turns[kind] ?: random.nextDouble()) + share
         val needed = if (request.isReturned) 1.0 - TURNS_IN_ADVANCE else 1.0
         val isTaken = present >= needed
@@ -110,7 +111,10 @@
         return isTaken
     }
 
-    private fun margin(service: String): FinishMargin = margins.getOrPut(service) { FinishMargin(clock) }
+    private fun margin(service: String): FinishMargin {
+        if (margins.size > MAXIMUM_KINDS) margins.clear()
+        return margins.getOrPut(service) { FinishMargin(clock) }
+    }
 
     private companion object {
         /** The time at a clear slot, in multiples of the work; a nearly full target takes 1.3 times as long or more. */
@@ -121,6 +125,9 @@
 
         /** The turns that callers who have come back may take before new ones have earned them. */
         const val TURNS_IN_ADVANCE = 2.0
+
+        /** Tables are cleared when they exceed this size, which drops services and routes that no longer exist. */
+        const val MAXIMUM_KINDS = 10_000
     }
 }
 
--- a/goldcrestquay/src/test/kotlin/dev/goldcrestquay/overload/FleetPressureTest.kt
+++ b/goldcrestquay/src/test/kotlin/dev/goldcrestquay/overload/FleetPressureTest.kt
@@ -91,6 +91,31 @@
         other.kinds.single().let { listOf(it.arrivals, it.workMilliseconds, it.refused) } shouldBe listOf(0.0, 0.0, 0.0)
     }
 
+    @Test
+    fun `the own view of a service that got no requests for long calls for nothing`() {
+        val pressure = FleetPressure({ now })
+        val request =
+            RoomRequest(
+                service = "shop",
+                route = "a",
+                rank = RequestRank(1, false),
+                isFirstAttempt = true,
+                isReturned = false,
+                expected = 1.seconds,
+                work = 1.seconds,
+                excess = 1,
+                objectiveLeft = 1.seconds,
+                timeLeft = 1.seconds,
+                callerTimeLeft = 1.seconds,
+            )
+        repeat(20) {
+            repeat(10) {
+                pressure.counter.recordArrival(request)
+                pressure.counter.recordRefused(request)
+            }
+            now += 250.milliseconds
+            pressure.share("shop", "a")
+        }
         pressure.share("shop", "a") shouldBeLessThan 0.5
         now += 60.seconds
         pressure.share("shop", "a") shouldBe 1.0
