Refuse nothing for time at a clear slot

Cause: a request at a free slot of an idle target was refused if 1.5 times its expected time did not fit. A route is expected to take 150 ms before its first answer, so one with deadlines under about 230 ms was never sent anything, and never got the answer that would have corrected this. As these refusals counted as pressure, the service's level fell while its targets were idle. Result: the new test of ScarceRoomTest failed before (NO_TIME) and passes. Targets of one slot have no clear slot by this rule; not mended.

--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/overload/ScarceRoom.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/overload/ScarceRoom.kt
@@ -77,8 +77,10 @@
         margin: Double,
     ): RoomRefusalReason? =
         when {
+            // Also without time to end: only answers correct the time that a route is expected to take.
+            hasClearSlot(request) -> null
             request.expected * margin > request.timeLeft -> RoomRefusalReason.NO_TIME
-            request.isFirstAttempt && !hasClearSlot(request) && !takeTurn(request, share) -> RoomRefusalReason.YIELDS
+            request.isFirstAttempt && !takeTurn(request, share) -> RoomRefusalReason.YIELDS
             !fitsObjective(request) -> RoomRefusalReason.NO_ROOM
             else -> null
         }
--- a/goldcrestquay/src/test/kotlin/dev/goldcrestquay/overload/ScarceRoomTest.kt
+++ b/goldcrestquay/src/test/kotlin/dev/goldcrestquay/overload/ScarceRoomTest.kt
@@ -124,4 +124,12 @@
         decision.reason shouldBe RoomRefusalReason.NO_TIME
         decision.retryAfter shouldBe Duration.ZERO
     }
+
+    /** The load pattern of a route with short deadlines after a start: 150 ms are assumed until the first answer. */
+    @Test
+    fun `a clear slot is taken by any request, so that a wrong estimate is corrected and is no pressure`() {
+        listOf(140, 104, 50).forEach { reason(request(expected = 105, excess = 0, timeLeft = it)) shouldBe null }
+        pressure.loads().single().pressure shouldBe 0.0
+        reason(request(expected = 130, excess = 0, timeLeft = 140)) shouldBe RoomRefusalReason.NO_TIME
+    }
 }
