--- a/goldcrestquay/src/test/kotlin/dev/goldcrestquay/overload/FleetPressureTest.kt
+++ b/goldcrestquay/src/test/kotlin/dev/goldcrestquay/overload/FleetPressureTest.kt
@@ -6,6 +6,7 @@
 import dev.goldcrestquay.machine.Feed
 import dev.goldcrestquay.machine.FleetEvent
 import dev.goldcrestquay.planRecord
+import io.kotest.matchers.collections.shouldBeEmpty
 import io.kotest.matchers.doubles.plusOrMinus
 import io.kotest.matchers.doubles.shouldBeLessThan
 import io.kotest.matchers.ints.shouldBeLessThan
@@ -131,6 +132,7 @@
             delay(5.seconds)
             store.access = { Access.REFUSED }
             delay(4.seconds)
+            fleet.leaders.shouldBeEmpty()
             fleet.running.forEach { it.pressure?.merge("callers", load(5.0)) }
             repeat(3) {
                 delay(500.milliseconds)
