Tell requests of one route apart by their priority

Cause: a kind was a route. Where organisations have priorities of their own, a request changed the rank of its route at its entry VM, the leader got the route once for each rank, and the share of the least urgent one held for all: of 100 requests each with priority 0 and 2 on one route 83 and 80 yielded. Change: a kind is a route and a priority; levels name both. Tests name kinds so too.

--- a/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/DecisionLog.kt
+++ b/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/DecisionLog.kt
@@ -219,7 +219,7 @@
                 put("openness", event.openness)
                 put("pressure", event.pressure)
                 put("arrivals", event.arrivals)
-                putJsonObject("shares") { event.shares.forEach { (route, share) -> put(route, share) } }
+                putJsonObject("shares") { event.shares.forEach { (kind, share) -> put(kind, share) } }
             }
             is FleetEvent.RolloutStep -> {
                 put("service", event.service)
--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/machine/StoreReader.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/machine/StoreReader.kt
@@ -354,7 +354,7 @@
      * @property openness the share of the offered work that the service takes.
      * @property pressure the share of the requests let through that found no room.
      * @property arrivals the requests of about the last second that this is based on.
-     * @property shares the share of the requests taken, by route, where it is below 1.
+     * @property shares the share of the requests taken, by priority and route, where it is below 1.
      */
     public data class AdmissionLevelChanged(
         val service: String,
--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/overload/AdmissionLevel.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/overload/AdmissionLevel.kt
@@ -24,7 +24,7 @@
     /** The time since the last step. */
     val age: Duration get() = clock() - movedAt
 
-    /** The share that is taken, by route; empty while the service takes all. */
+    /** The share that is taken, by [kindName]; empty while the service takes all. */
     var shares: Map<String, Double> = shares
         private set
 
@@ -42,9 +42,9 @@
         val wanted = if (openness == 1.0) emptyMap() else sharesByRank(load.kinds, openness)
         shares =
             (wanted.keys + shares.keys)
-                .associateWith { route ->
-                    val present = shares[route] ?: 1.0
-                    (wanted[route] ?: 1.0).coerceIn(present - LARGEST_STEP, present + LARGEST_STEP).coerceAtMost(1.0)
+                .associateWith { kind ->
+                    val present = shares[kind] ?: 1.0
+                    (wanted[kind] ?: 1.0).coerceIn(present - LARGEST_STEP, present + LARGEST_STEP).coerceAtMost(1.0)
                 }.filterValues { it < 1.0 }
     }
 
@@ -86,7 +86,7 @@
         val given = (work * (1.0 - floor)).coerceAtMost(room)
         room -= given
         val share = (if (work > 0) floor + given / work else 1.0).coerceIn(floor, limit.coerceAtLeast(floor))
-        group.forEach { shares[it.route] = share }
+        group.forEach { shares[it.kind] = share }
         val lost = group.filter { it.arrivals >= AdmissionLevel.MINIMUM_ARRIVALS }.maxOfOrNull { it.lostShare } ?: 0.0
         limit = minOf(limit, share, 1.0 - lost + RANK_TOLERANCE)
     }
--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/overload/FleetPressure.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/overload/FleetPressure.kt
@@ -71,20 +71,20 @@
         }
     }
 
-    /** The share of the requests on [route] that [service] takes. */
+    /** The share of the requests of [kind] that [service] takes. */
     internal fun share(
         service: String,
-        route: String,
+        kind: String,
     ): Double {
         forgetOldLevels()
         val held = ownLevels[service]?.takeIf { it.age <= LEVEL_LIFETIME }
         val level = held ?: AdmissionLevel(clock).also { ownLevels[service] = it }
         level.update(counter.load(service))
-        val own = level.shares[route] ?: 1.0
+        val own = level.shares[kind] ?: 1.0
         val fleet = adopted[service] ?: return own
         val age = clock() - fleet.decidedAt
         val weight = ((LEVEL_LIFETIME - age) / (LEVEL_LIFETIME - FRESH_LEVEL)).coerceIn(0.0, 1.0)
-        return (fleet.shares[route] ?: 1.0) * weight + own * (1.0 - weight)
+        return (fleet.shares[kind] ?: 1.0) * weight + own * (1.0 - weight)
     }
 
     /** Forgets services that have got no requests or levels for long; an old level of one says nothing about its next requests. */
--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/overload/LoadCounter.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/overload/LoadCounter.kt
@@ -42,8 +42,8 @@
     ) {
         decay()
         val kinds = loads.getOrPut(request.service) { HashMap() }
-        val known = kinds[request.route] ?: KindLoad(request.route, 0, false, 0.0, 0.0, 0.0, 0.0, 0.0, 0.0)
-        kinds[request.route] = change(known.copy(priority = request.rank.priority, isSpill = request.rank.isSpill))
+        val known = kinds[request.kind] ?: KindLoad(request.route, request.rank.priority, false, 0.0, 0.0, 0.0, 0.0, 0.0, 0.0)
+        kinds[request.kind] = change(known.copy(isSpill = request.rank.isSpill))
     }
 
     private fun decay() {
--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/overload/RoomRequest.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/overload/RoomRequest.kt
@@ -39,7 +39,15 @@
     val objectiveLeft: Duration,
     val timeLeft: Duration,
     val callerTimeLeft: Duration,
-)
+) {
+    internal val kind: String get() = kindName(route, rank.priority)
+}
+
+/** The name of the requests on [route] with [priority], which differs on one route where organisations have priorities of their own. */
+internal fun kindName(
+    route: String,
+    priority: Int,
+): String = "$priority:$route"
 
 /** Why a request got no room. */
 public enum class RoomRefusalReason {
--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/overload/ScarceRoom.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/overload/ScarceRoom.kt
@@ -40,7 +40,7 @@
     /** Decides whether [request] is sent. */
     public fun decide(request: RoomRequest): RoomDecision {
         if (request.isFirstAttempt) pressure.counter.recordArrival(request)
-        val share = pressure.share(request.service, request.route)
+        val share = pressure.share(request.service, request.kind)
         val margin = margin(request.service).factor
         val reason = refusalReason(request, share, margin) ?: return RoomDecision.Admitted
         when {
@@ -100,7 +100,7 @@
         request: RoomRequest,
         share: Double,
     ): Boolean {
-        val kind = request.service to request.route
+        val kind = request.service to request.kind
         if (share >= 1.0) {
             turns -= kind
             return true
--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/overload/ServiceLoad.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/overload/ServiceLoad.kt
@@ -27,6 +27,8 @@
 ) {
     internal val rank: RequestRank get() = RequestRank(priority, isSpill)
 
+    internal val kind: String get() = kindName(route, priority)
+
     /** The share of the requests that were not served for lack of room. */
     internal val lostShare: Double get() = if (arrivals > 0) ((yielded + refused + cut) / arrivals).coerceIn(0.0, 1.0) else 0.0
 
@@ -106,7 +108,7 @@
  * The admission level of [service], decided by the leader for all entry VMs.
  *
  * @property openness the share of the offered work that the service takes, which a new leader starts from.
- * @property shares the share of the requests that the service takes, by route; kinds that are missing are taken in full.
+ * @property shares the share of the requests that the service takes, by [kindName]; kinds that are missing are taken in full.
  * @property ageMilliseconds the age of the level.
  */
 @Serializable
--- a/goldcrestquay/src/test/kotlin/dev/goldcrestquay/overload/AdmissionLevelTest.kt
+++ b/goldcrestquay/src/test/kotlin/dev/goldcrestquay/overload/AdmissionLevelTest.kt
@@ -24,10 +24,10 @@
         val kinds = listOf(kind("late", 2), kind("spill", 1, isSpill = true), kind("own", 1), kind("first", 0))
         val floor = 0.5 * FLOOR
         val shares = sharesByRank(kinds, 0.5)
-        shares.getValue("first") shouldBe (1.0 plusOrMinus 0.001)
-        shares.getValue("own") shouldBe (floor + 1.3 - (1.0 - floor) plusOrMinus 0.001)
-        shares.getValue("spill") shouldBe (floor plusOrMinus 0.001)
-        shares.getValue("late") shouldBe (floor plusOrMinus 0.001)
+        shares.getValue("0:first") shouldBe (1.0 plusOrMinus 0.001)
+        shares.getValue("1:own") shouldBe (floor + 1.3 - (1.0 - floor) plusOrMinus 0.001)
+        shares.getValue("1:spill") shouldBe (floor plusOrMinus 0.001)
+        shares.getValue("2:late") shouldBe (floor plusOrMinus 0.001)
         FLOOR shouldBeGreaterThan 0.25
     }
 
@@ -35,9 +35,9 @@
     fun `kinds of one rank share alike and a kind is not taken more often than a more urgent one is served`() {
         sharesByRank(listOf(kind("a", 1, work = 3000.0), kind("b", 1)), 0.6).values.toSet() shouldBe setOf(0.6)
         val shares = sharesByRank(listOf(kind("a", 1, work = 10.0, refused = 4.0), kind("b", 2)), 0.9)
-        shares.getValue("b") shouldBe (0.6 + RANK_TOLERANCE plusOrMinus 0.001)
+        shares.getValue("2:b") shouldBe (0.6 + RANK_TOLERANCE plusOrMinus 0.001)
         val few = sharesByRank(listOf(kind("a", 1, work = 10.0, refused = 4.0, arrivals = 4.0), kind("b", 2)), 0.9)
-        few.getValue("b") shouldBeGreaterThan 0.85
+        few.getValue("2:b") shouldBeGreaterThan 0.85
     }
 
     private fun AdmissionLevel.after(
@@ -48,7 +48,7 @@
             now += AdmissionLevel.STEP_INTERVAL
             repeat(3) { update(load) }
         }
-        return shares["a"] ?: 1.0
+        return shares["1:a"] ?: 1.0
     }
 
     private fun load(
--- a/goldcrestquay/src/test/kotlin/dev/goldcrestquay/overload/FleetPressureTest.kt
+++ b/goldcrestquay/src/test/kotlin/dev/goldcrestquay/overload/FleetPressureTest.kt
@@ -27,7 +27,7 @@
     private fun level(
         share: Double,
         age: Long = 0,
-    ) = listOf(ServiceLevel("shop", share, mapOf("a" to share), age))
+    ) = listOf(ServiceLevel("shop", share, mapOf("1:a" to share), age))
 
     @Test
     fun `loads add up, a process's later report replaces its earlier one, and old reports end`() {
@@ -55,16 +55,16 @@
     @Test
     fun `a level is adopted, not replaced by an older one, and gives way to the own view with age`() {
         val pressure = FleetPressure({ now })
-        pressure.share("shop", "a") shouldBe 1.0
+        pressure.share("shop", "1:a") shouldBe 1.0
         pressure.adopt(level(0.4))
         pressure.adopt(level(0.9, age = 500))
-        pressure.share("shop", "a") shouldBe (0.4 plusOrMinus 0.001)
-        pressure.share("shop", "other") shouldBe 1.0
-        pressure.levels(isLeader = false).single().shares shouldBe mapOf("a" to 0.4)
+        pressure.share("shop", "1:a") shouldBe (0.4 plusOrMinus 0.001)
+        pressure.share("shop", "1:other") shouldBe 1.0
+        pressure.levels(isLeader = false).single().shares shouldBe mapOf("1:a" to 0.4)
         now += 2750.milliseconds
-        pressure.share("shop", "a") shouldBe (0.7 plusOrMinus 0.001)
+        pressure.share("shop", "1:a") shouldBe (0.7 plusOrMinus 0.001)
         now += 1300.milliseconds
-        pressure.share("shop", "a") shouldBe 1.0
+        pressure.share("shop", "1:a") shouldBe 1.0
         pressure.levels(isLeader = false) shouldBe emptyList()
     }
 
@@ -78,7 +78,7 @@
         repeat(2) { pressure.levels(isLeader = true) }
         pressure.levels(isLeader = true).single().openness shouldBe (0.45 plusOrMinus 0.001)
         events.map { (it as FleetEvent.AdmissionLevelChanged).service } shouldBe listOf("shop")
-        (pressure.share("shop", "a") in 0.4..0.55) shouldBe true
+        (pressure.share("shop", "1:a") in 0.4..0.55) shouldBe true
     }
 
     @Test
@@ -115,11 +115,11 @@
                 pressure.counter.recordRefused(request)
             }
             now += 250.milliseconds
-            pressure.share("shop", "a")
+            pressure.share("shop", "1:a")
         }
-        pressure.share("shop", "a") shouldBeLessThan 0.5
+        pressure.share("shop", "1:a") shouldBeLessThan 0.5
         now += 60.seconds
-        pressure.share("shop", "a") shouldBe 1.0
+        pressure.share("shop", "1:a") shouldBe 1.0
     }
 
     /** The load pattern of a store that fails for long: entry VMs without a leader ask each other. */
@@ -155,7 +155,7 @@
             fleet.running.filter { !it.replicator.isLeader }.forEach { it.pressure?.merge("callers", load(5.0)) }
             delay(1500.milliseconds)
 
-            fun shares(): List<Double> = fleet.running.mapNotNull { it.pressure?.share("shop", "a") }
+            fun shares(): List<Double> = fleet.running.mapNotNull { it.pressure?.share("shop", "1:a") }
             shares().max() shouldBeLessThan 0.95
             (shares().max() - shares().min()) shouldBeLessThan 0.31
             val bytes = Json.encodeToString(ServiceLoad.serializer(), checkNotNull(fleet.running.first().pressure).loads().first()).length
--- a/goldcrestquay/src/test/kotlin/dev/goldcrestquay/overload/ScarceRoomTest.kt
+++ b/goldcrestquay/src/test/kotlin/dev/goldcrestquay/overload/ScarceRoomTest.kt
@@ -78,7 +78,7 @@
         request: RoomRequest,
         count: Int = 100,
     ): Int {
-        pressure.adopt(listOf(ServiceLevel("shop", 0.4, mapOf("a" to 0.4), 0)))
+        pressure.adopt(listOf(ServiceLevel("shop", 0.4, mapOf("1:a" to 0.4), 0)))
         return (1..count).count { reason(request) != RoomRefusalReason.YIELDS }
     }
 
@@ -132,4 +132,19 @@
         pressure.loads().single().pressure shouldBe 0.0
         reason(request(expected = 130, excess = 0, timeLeft = 140)) shouldBe RoomRefusalReason.NO_TIME
     }
+
+    /** The load pattern of organisations that call one route with priorities of their own. */
+    @Test
+    fun `urgent requests of a route are taken before less urgent ones of the same route`() {
+        val kinds = listOf(0, 2).map { KindLoad("a", it, false, 100.0, 10_000.0, 0.0, 20.0, 0.0, 0.0) }
+        repeat(6) {
+            now += 250.milliseconds
+            pressure.merge("vm-1", listOf(ServiceLoad("shop", kinds)))
+            pressure.levels(isLeader = true)
+        }
+        val (urgent, other) = listOf(0, 2).map { request().copy(rank = RequestRank(it, false)) }
+        val reasons = (1..100).map { reason(urgent) to reason(other) }
+        val yielded = reasons.unzip().toList().map { kind -> kind.count { it == RoomRefusalReason.YIELDS } }
+        withClue(yielded) { (yielded[1] - yielded[0]) shouldBeGreaterThan 25 }
+    }
 }
