--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/overload/AdmissionLevel.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/overload/AdmissionLevel.kt
@@ -21,13 +21,16 @@
         private set
     private var movedAt = -Duration.INFINITE
 
-    /** The share that is taken, by route; empty while the service takes all. */
+    /** The time since the last step. */
+    val age: Duration get() = clock() - movedAt
+
+    /** The share that is taken, by [kindName]; empty while the service takes all. */
     var shares: Map<String, Double> = shares
         private set
 
     /** Moves the level by one step towards what [load] calls for, at most once in [STEP_INTERVAL]. */
     fun update(load: ServiceLoad) {
-        if (clock() - movedAt < STEP_INTERVAL) return
+        if (age < STEP_INTERVAL) return
         movedAt = clock()
         val pressure = if (load.arrivals < MINIMUM_ARRIVALS) 0.0 else load.pressure
         openness =
@@ -39,9 +42,9 @@
         val wanted = if (openness == 1.0) emptyMap() else sharesByRank(load.kinds, openness)
         shares =
             (wanted.keys + shares.keys)
-                .associateWith { route ->
-                    val present = shares[route] ?: 1.0
-                    (wanted[route] ?: 1.0).coerceIn(present - LARGEST_STEP, present + LARGEST_STEP).coerceAtMost(1.0)
+                .associateWith { kind ->
+                    val present = shares[kind] ?: 1.0
+                    (wanted[kind] ?: 1.0).coerceIn(present - LARGEST_STEP, present + LARGEST_STEP).coerceAtMost(1.0)
                 }.filterValues { it < 1.0 }
     }
 
@@ -83,7 +86,7 @@
         val given = (work * (1.0 - floor)).coerceAtMost(room)
         room -= given
         val share = (if (work > 0) floor + given / work else 1.0).coerceIn(floor, limit.coerceAtLeast(floor))
-        group.forEach { shares[it.route] = share }
+        group.forEach { shares[it.kind] = share }
         val lost = group.filter { it.arrivals >= AdmissionLevel.MINIMUM_ARRIVALS }.maxOfOrNull { it.lostShare } ?: 0.0
         limit = minOf(limit, share, 1.0 - lost + RANK_TOLERANCE)
     }
--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/overload/FleetPressure.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/overload/FleetPressure.kt
@@ -34,19 +34,21 @@
     private val fleetLevels = HashMap<String, AdmissionLevel>()
     private val adopted = HashMap<String, Adopted>()
     private var decidedAt = -Duration.INFINITE
+    private var forgottenAt = Duration.ZERO
 
-    /** The load of this entry VM and of all that report to it. */
-    public fun loads(): List<ServiceLoad> {
+    /** The load of this entry VM and of all that report to it but [receiver], which would count its own load twice. */
+    public fun loads(receiver: String? = null): List<ServiceLoad> {
         reported.values.removeIf { clock() - it.at > REPORT_LIFETIME }
-        return sumLoads(counter.loads() + reported.values.flatMap { it.loads }).map { it.rounded() }
+        val others = reported.filterKeys { it != receiver }.values
+        return sumLoads(counter.loads() + others.flatMap { it.loads }).map { it.rounded() }
     }
 
-    /** Adopts what [process] reports, in place of its earlier report. */
+    /** Adopts what [sender] reports, in place of its earlier report. */
     public fun merge(
-        process: String,
+        sender: String,
         loads: List<ServiceLoad>,
     ) {
-        if (loads.isEmpty()) reported -= process else reported[process] = Reported(loads, clock())
+        if (loads.isEmpty()) reported -= sender else reported[sender] = Reported(loads.map { it.bounded() }, clock())
     }
 
     /** The levels to send to peers: this entry VM's decision when it [isLeader], or else what it has adopted. */
@@ -69,18 +71,28 @@
         }
     }
 
-    /** The share of the requests on [route] that [service] takes. */
+    /** The share of the requests of [kind] that [service] takes. */
     internal fun share(
         service: String,
-        route: String,
+        kind: String,
     ): Double {
-        val level = ownLevels.getOrPut(service) { AdmissionLevel(clock) }
+        forgetOldLevels()
+        val held = ownLevels[service]?.takeIf { it.age <= LEVEL_LIFETIME }
+        val level = held ?: AdmissionLevel(clock).also { ownLevels[service] = it }
         level.update(counter.load(service))
-        val own = level.shares[route] ?: 1.0
+        val own = level.shares[kind] ?: 1.0
         val fleet = adopted[service] ?: return own
         val age = clock() - fleet.decidedAt
         val weight = ((LEVEL_LIFETIME - age) / (LEVEL_LIFETIME - FRESH_LEVEL)).coerceIn(0.0, 1.0)
-        return (fleet.shares[route] ?: 1.0) * weight + own * (1.0 - weight)
+        return (fleet.shares[kind] ?: 1.0) * weight + own * (1.0 - weight)
+    }
+
+    /** Forgets services that have got no requests or levels for long; an old level of one says nothing about its next requests. */
+    private fun forgetOldLevels() {
+        if (clock() - forgottenAt < LEVEL_LIFETIME) return
+        forgottenAt = clock()
+        ownLevels.values.removeIf { it.age > LEVEL_LIFETIME }
+        adopted.values.removeIf { clock() - it.decidedAt > LEVEL_LIFETIME }
     }
 
     private fun decide() {
--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/overload/ScarceRoom.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/overload/ScarceRoom.kt
@@ -40,7 +40,7 @@
     /** Decides whether [request] is sent. */
     public fun decide(request: RoomRequest): RoomDecision {
         if (request.isFirstAttempt) pressure.counter.recordArrival(request)
-        val share = pressure.share(request.service, request.route)
+        val share = pressure.share(request.service, request.kind)
         val margin = margin(request.service).factor
         val reason = refusalReason(request, share, margin) ?: return RoomDecision.Admitted
         when {
@@ -77,8 +77,10 @@
         margin: Double,
     ): RoomRefusalReason? =
         when {
+            // Also without time to end: only answers correct the time that a route is expected to take.
+            hasClearSlot(request) -> null
             request.expected * margin > request.timeLeft -> RoomRefusalReason.NO_TIME
-            request.isFirstAttempt && !hasClearSlot(request) && !takeTurn(request, share) -> RoomRefusalReason.YIELDS
+            request.isFirstAttempt && !takeTurn(request, share) -> RoomRefusalReason.YIELDS
             !fitsObjective(request) -> RoomRefusalReason.NO_ROOM
             else -> null
         }
@@ -98,11 +100,12 @@
         request: RoomRequest,
         share: Double,
     ): Boolean {
-        val kind = request.service to request.route
+        val kind = request.service to request.kind
         if (share >= 1.0) {
             turns -= kind
             return true
         }
+        if (turns.size > MAXIMUM_KINDS) turns.clear()
         val present = (turns[kind] ?: random.nextDouble()) + share
         val needed = if (request.isReturned) 1.0 - TURNS_IN_ADVANCE else 1.0
         val isTaken = present >= needed
@@ -110,7 +113,10 @@
         return isTaken
     }
 
-    private fun margin(service: String): FinishMargin = margins.getOrPut(service) { FinishMargin(clock) }
+    private fun margin(service: String): FinishMargin {
+        if (margins.size > MAXIMUM_KINDS) margins.clear()
+        return margins.getOrPut(service) { FinishMargin(clock) }
+    }
 
     private companion object {
         /** The time at a clear slot, in multiples of the work; a nearly full target takes 1.3 times as long or more. */
@@ -121,6 +127,9 @@
 
         /** The turns that callers who have come back may take before new ones have earned them. */
         const val TURNS_IN_ADVANCE = 2.0
+
+        /** Tables are cleared when they exceed this size, which drops services and routes that no longer exist. */
+        const val MAXIMUM_KINDS = 10_000
     }
 }
 
@@ -128,15 +137,17 @@
  * The delay after which the caller of a refused [request] is to return, between one and two times a base; [spread] is from 0 to 1.
  *
  * The base grows with the time by which the target found is too slow and with the share of the kind that yields, so that urgent callers
- * return first. The delay is at most a third of the time that the caller has left, since callers do not wait longer, and leaves
- * time for the work where that can be.
+ * return first. The delay is at most a third of the time that the caller has left, since callers do not wait longer; without any
+ * time left it is zero.
  */
 internal fun retryDelay(
     request: RoomRequest,
     share: Double,
     spread: Double,
 ): Duration {
-    val shortfall = (request.expected - request.objectiveLeft.coerceIn(Duration.ZERO, request.timeLeft)).coerceAtLeast(Duration.ZERO)
+    // Probes and an event loop that is late may outlast the time left.
+    val objectiveLeft = request.objectiveLeft.coerceIn(Duration.ZERO, request.timeLeft.coerceAtLeast(Duration.ZERO))
+    val shortfall = (request.expected - objectiveLeft).coerceAtLeast(Duration.ZERO)
     val longest = request.callerTimeLeft / LONGEST_SHARE_OF_TIME
     val base = maxOf(shortfall, longest * (1.0 - share), SHORTEST_RETRY_DELAY)
     return minOf(base * (1.0 + spread), longest * (SMALLEST_SPREAD_SHARE + (1.0 - SMALLEST_SPREAD_SHARE) * spread))
--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/overload/ServiceLoad.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/overload/ServiceLoad.kt
@@ -27,6 +27,8 @@
 ) {
     internal val rank: RequestRank get() = RequestRank(priority, isSpill)
 
+    internal val kind: String get() = kindName(route, priority)
+
     /** The share of the requests that were not served for lack of room. */
     internal val lostShare: Double get() = if (arrivals > 0) ((yielded + refused + cut) / arrivals).coerceIn(0.0, 1.0) else 0.0
 
@@ -41,10 +43,26 @@
             cut = rounded(cut),
         )
 
+    /** The load with counts that can be: a sum that is infinite could not be sent on. */
+    internal fun bounded(): KindLoad =
+        copy(
+            arrivals = bounded(arrivals),
+            workMilliseconds = bounded(workMilliseconds),
+            yielded = bounded(yielded),
+            refused = bounded(refused),
+            rejected = bounded(rejected),
+            cut = bounded(cut),
+        )
+
+    private fun bounded(count: Double) = if (count > 0.0) minOf(count, LARGEST_COUNT) else 0.0
+
     private fun rounded(count: Double) = round(count * DECIMALS) / DECIMALS
 
     private companion object {
         const val DECIMALS = 100
+
+        /** More than the milliseconds of work that any fleet is asked for in a second. */
+        const val LARGEST_COUNT = 1e12
     }
 
     internal operator fun plus(other: KindLoad): KindLoad =
@@ -68,6 +86,8 @@
 
     internal fun rounded(): ServiceLoad = copy(kinds = kinds.map { it.rounded() })
 
+    internal fun bounded(): ServiceLoad = copy(kinds = kinds.map { it.bounded() })
+
     /** The pressure: the share of the requests and attempts let through that found no room; 0 while there is room for all. */
     internal val pressure: Double
         get() {
@@ -88,7 +108,7 @@
  * The admission level of [service], decided by the leader for all entry VMs.
  *
  * @property openness the share of the offered work that the service takes, which a new leader starts from.
- * @property shares the share of the requests that the service takes, by route; kinds that are missing are taken in full.
+ * @property shares the share of the requests that the service takes, by [kindName]; kinds that are missing are taken in full.
  * @property ageMilliseconds the age of the level.
  */
 @Serializable
