Test that an entry VM bears clients that nobody controls

Cause: clients that send heads, empty lines or bodies without end, or stop just short of the end, ended a process by its memory. Change: ClientCrowdTest starts the program with the deployment's flags, a heap of 64 MiB and 600 descriptors, sends it ten kinds of load from 40 to 800 clients, and checks that it lives, that memory and sockets stay below the machine's, and that ordinary requests are answered. One more test sends a single body of 64 MiB with the real flags.

--- a/goldcrestquay-platform-standins/src/main/kotlin/dev/goldcrestquay/standins/platform/DeploymentDocuments.kt
+++ b/goldcrestquay-platform-standins/src/main/kotlin/dev/goldcrestquay/standins/platform/DeploymentDocuments.kt
@@ -31,16 +31,22 @@
             """"rows":[["$service","${TargetStandIn.HEALTH_PATH}",200,"h1",false,"3s",7.0]]},"limits":{$REQUEST_LIMITS}}"""
     }
 
-    /** Returns the settings of an entry VM on [host] that listens on four consecutive ports from [firstPort] on. */
+    /**
+     * Returns the settings of an entry VM on [host] that listens on four consecutive ports from [firstPort] on.
+     *
+     * @param machine the limits of its machine as a JSON object, or null to state none.
+     */
     fun settings(
         name: String,
         firstPort: Int,
         storePort: Int,
         seeds: List<String> = emptyList(),
         host: String = "127.0.0.1",
+        machine: String? = null,
     ): String {
         val seedList = seeds.joinToString(",") { "\"$it\"" }
-        return """{"node_name":"$name","zone":"north",""" +
+        val limits = if (machine == null) "" else """"limits":$machine,"""
+        return """{"node_name":"$name","zone":"north",$limits""" +
             """"listen":{"front":"$host:$firstPort","ready":"$host:${firstPort + READY_PORT_OFFSET}",""" +
             """"control":"$host:${firstPort + CONTROL_PORT_OFFSET}","directory":"$host:${firstPort + DIRECTORY_PORT_OFFSET}"},""" +
             """"seeds":[$seedList],""" +
--- a/goldcrestquay-platform-standins/src/main/kotlin/dev/goldcrestquay/standins/platform/EntryVmProcess.kt
+++ b/goldcrestquay-platform-standins/src/main/kotlin/dev/goldcrestquay/standins/platform/EntryVmProcess.kt
@@ -4,6 +4,8 @@
 import io.vertx.ext.web.client.WebClient
 import kotlinx.coroutines.delay
 import java.io.File
+import java.nio.file.Files
+import java.nio.file.NoSuchFileException
 import java.util.concurrent.TimeUnit
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -64,6 +66,17 @@
                 .filter { it.isDigit() }
                 .toInt()
 
+    /** What the process's open descriptors refer to, such as `socket:[1234]`; one that closes meanwhile is left out. */
+    val openDescriptors: List<String>
+        get() =
+            File("/proc/${process.pid()}/fd").listFiles().orEmpty().mapNotNull { descriptor ->
+                try {
+                    Files.readSymbolicLink(descriptor.toPath()).toString()
+                } catch (_: NoSuchFileException) {
+                    null
+                }
+            }
+
     /** Waits until the readiness check passes; throws [IllegalStateException] when the process ends first. */
     suspend fun awaitReady(client: WebClient) {
         while (!answersReady(client)) {
