Bound what all callers together hold of an entry VM

Cause: the stated length of a body was allocated before a byte came, and copied twice more when it was complete; heads were bounded for each connection only; empty lines, connections and the time of a head were not bounded. Clients that nobody controls ended the process. Change: bodies are held as they arrive, outside the heap from 16 KiB on, and written to targets without a copy (RequestBody). CallerGate watches the connections to the callers' and the directory's address: small parts of heads, joined small chunks, 1,024 bytes of empty lines. The settings' limits.memory_mb and limits.max_fds and the plan's header_timeout and idle_timeout hold. HTTP/2 in the clear, which would pass the watch, is no longer offered. Log line CallersTurnedAway, metric goldcrestquay_callers_turned_away_total. EdgeContractTest: a body of 64 MiB lacks memory only on a small machine now, so the test that one is refused for now states such a machine.

--- a/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/DecisionLog.kt
+++ b/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/DecisionLog.kt
@@ -198,6 +198,10 @@
                 put("text", event.text)
             }
             is FleetEvent.ReachChanged -> put("reaches_targets", event.reachesTargets)
+            is FleetEvent.CallersTurnedAway -> {
+                put("reason", event.reason)
+                put("count", event.count)
+            }
             is FleetEvent.EventLoopStalled -> put("late_ms", event.late.inWholeMilliseconds)
             is FleetEvent.FactsChanged -> {
                 put("sequence", event.sequence)
--- a/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/EdgeServer.kt
+++ b/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/EdgeServer.kt
@@ -15,6 +15,7 @@
 import dev.goldcrestquay.routing.RelayTerms
 import dev.goldcrestquay.routing.RequestForwarder
 import dev.goldcrestquay.routing.requestFingerprint
+import io.netty.buffer.ByteBuf
 import io.vertx.core.Vertx
 import io.vertx.core.buffer.Buffer
 import io.vertx.core.http.HttpConnection
@@ -24,7 +25,6 @@
 import io.vertx.core.http.HttpServerResponse
 import io.vertx.kotlin.coroutines.coAwait
 import kotlinx.coroutines.CancellationException
-import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.CoroutineStart
 import kotlinx.coroutines.Job
@@ -48,6 +48,7 @@
     private val targets: TargetExchange,
     private val relay: PeerRelay,
     private val responseMemory: ResponseMemory,
+    private val gate: CallerGate,
     private val forwarder: Forwarder,
     private val plannedStop: PlannedStop,
     private val clock: Clock,
@@ -56,7 +57,6 @@
     /** When each open connection was opened or ended its last request. */
     private val quietSince = HashMap<HttpConnection, Duration>()
     private val pendingRequests = HashMap<HttpConnection, Int>()
-    private var bodyBytes = 0L
     private var relayedRequests = 0
     private var server: HttpServer? = null
 
@@ -73,6 +73,7 @@
                 .createHttpServer(serverOptions(address))
                 .connectionHandler { connection ->
                     quietSince[connection] = clock()
+                    gate.watch(connection)
                     connection.closeHandler { quietSince -= connection }
                 }.requestHandler { handle(it, null) }
                 .listen()
@@ -134,7 +135,7 @@
         private val host = request.getHeader("host").orEmpty().substringBefore(':')
         private val path = request.uri().substringBefore('?')
         private val deadline = request.getHeader(protocol.deadline)?.toLongOrNull()?.milliseconds
-        private var reservedBytes = 0L
+        private val reading = gate.read(request)
         private var isForwarding = false
 
         /** The answers that were not read to their end, whether the caller gets them or a retry replaces them. */
@@ -156,7 +157,7 @@
                     refuse(codeOfError(), null, close = true)
                 }
             } finally {
-                bodyBytes -= reservedBytes
+                reading.release()
                 partialReplies.forEach { it.abandon() }
             }
         }
@@ -168,7 +169,8 @@
             forwarder.refuseEarly(id, host, path, deadline, arrivedAt)?.let { return refuse(it.code, it.retryAfter) }
             if (origin != null && relayedRequests > MAXIMUM_RELAYED_REQUESTS) return refuse(ResultCode.OVERLOADED, RELAY_RETRY_DELAY)
             val limits = state.routes?.plan?.limits
-            forward(readBody(limits?.maximumBodyBytes ?: Long.MAX_VALUE) ?: return)
+            val code = reading.await(limits?.maximumBodyBytes ?: Long.MAX_VALUE, onBroken = { job.cancel() })
+            if (code == null) forward(reading.body.content) else refuse(code, BODY_RETRY_DELAY, close = true)
         }
 
         fun onCallerDisconnected() {
@@ -177,20 +179,27 @@
             if (forward == null || forward.isCancellable) job.cancel()
         }
 
-        private suspend fun forward(body: ByteArray) {
+        private suspend fun forward(body: ByteBuf) {
             val outgoing = EdgeRequest(id, request.method().name(), request.uri(), headers.filter { isForwarded(it.first) }, body)
             val forward =
                 ForwardRequest<OriginConnection, EdgeReply>(
                     id = id,
                     host = host,
                     path = path,
-                    bodyBytes = body.size,
+                    bodyBytes = body.readableBytes(),
                     arrivedAt = arrivedAt,
                     deadline = deadline,
                     send = { targets.send(outgoing, it).also(::keep) },
                     relay = { peer, terms -> relay.relay(outgoing, peer, terms).also(::keep) },
                     origin = origin,
-                    computeFingerprint = { requestFingerprint(outgoing.method, request.getHeader("host").orEmpty(), outgoing.uri, body) },
+                    computeFingerprint = {
+                        requestFingerprint(
+                            outgoing.method,
+                            request.getHeader("host").orEmpty(),
+                            outgoing.uri,
+                            body.nioBuffers(),
+                        )
+                    },
                 )
             this.forward = forward
             isForwarding = true
@@ -213,44 +222,6 @@
             reply.rest?.let { partialReplies += it }
         }
 
-        /** The complete body of at most [maximum] bytes, or null when it is refused. A body that breaks off cancels the job. */
-        private suspend fun readBody(maximum: Long): ByteArray? {
-            val length = request.getHeader("content-length")?.toLongOrNull()
-            val chunked = request.getHeader("transfer-encoding") != null
-            if ((length == null || length == 0L) && !chunked) return ByteArray(0)
-            if ((length ?: 0) > maximum) return refuseBody(ResultCode.BODY_TOO_LARGE)
-            if (!reserve(length ?: 0)) return refuseBody(ResultCode.OVERLOADED)
-            val buffered = Buffer.buffer((length ?: 0L).toInt())
-            val refusal = CompletableDeferred<ResultCode?>()
-            request.handler { chunk ->
-                val size = buffered.length() + chunk.length()
-                when {
-                    refusal.isCompleted -> Unit
-                    size > maximum -> refusal.complete(ResultCode.BODY_TOO_LARGE)
-                    !reserve(size - reservedBytes) -> refusal.complete(ResultCode.OVERLOADED)
-                    else -> buffered.appendBuffer(chunk)
-                }
-            }
-            request.endHandler { refusal.complete(null) }
-            request.exceptionHandler { job.cancel() }
-            val code = refusal.await() ?: return buffered.bytes
-            return refuseBody(code)
-        }
-
-        /** Reserves memory for [more] bytes of this request's body; returns false when too much is reserved by all requests. */
-        private fun reserve(more: Long): Boolean {
-            if (more <= 0) return true
-            if (bodyBytes + more > MAXIMUM_TOTAL_BODY_BYTES) return false
-            reservedBytes += more
-            bodyBytes += more
-            return true
-        }
-
-        private suspend fun refuseBody(code: ResultCode): ByteArray? {
-            refuse(code, BODY_RETRY_DELAY, close = true)
-            return null
-        }
-
         /** Sends [reply], which is held until the caller has taken it. */
         private suspend fun respond(
             reply: EdgeReply,
@@ -336,13 +307,6 @@
     private companion object {
         val log by lazy { LogManager.getLogger(EdgeServer::class.java) }
 
-        /**
-         * The largest size of all request bodies together: a third of the heap.
-         *
-         * Bodies are kept complete, so that a request that one target refuses can be sent to another.
-         */
-        const val MAXIMUM_TOTAL_BODY_BYTES = 33_554_432L
-
         /** How long a large response may take for callers that state no deadline. */
         val DEFAULT_STREAMING_TIME = 30.seconds
 
@@ -383,6 +347,7 @@
         .setMaxHeaderSize(HEADER_LIMIT_BYTES)
         .setMaxInitialLineLength(HEADER_LIMIT_BYTES)
         .setHandle100ContinueAutomatically(true)
+        .setHttp2ClearTextEnabled(false)
         .setIdleTimeout(IDLE_TIMEOUT_SECONDS)
 
 /** When the accept queue is full the kernel drops SYN packets, which clients retransmit only after seconds. */
--- a/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/GatewayMetrics.kt
+++ b/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/GatewayMetrics.kt
@@ -21,6 +21,8 @@
     private val relays =
         counter("goldcrestquay_relays_total", "Requests relayed, by direction (sent or received) and outcome.", "direction", "outcome")
     private val fleetEvents = counter("goldcrestquay_belief_changes_total", "Changes of what the entry VM believes, by kind.", "kind")
+    private val turnedAway =
+        counter("goldcrestquay_callers_turned_away_total", "Callers closed or refused to save memory, by reason.", "reason")
     private val latency =
         Histogram
             .builder()
@@ -52,6 +54,7 @@
     /** Counts a change in the replication of the store's records, by the event's class name. */
     fun observe(event: FleetEvent) {
         fleetEvents.labelValues(event::class.simpleName.orEmpty()).inc()
+        if (event is FleetEvent.CallersTurnedAway) turnedAway.labelValues(event.reason).inc(event.count.toLong())
     }
 
     /** All metrics in the Prometheus text format. */
--- a/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/GatewayNode.kt
+++ b/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/GatewayNode.kt
@@ -1,5 +1,7 @@
 package dev.goldcrestquay.http.edge
 
+import dev.goldcrestquay.callers.CallerLimits
+import dev.goldcrestquay.callers.MachineLimits
 import dev.goldcrestquay.link.Clock
 import dev.goldcrestquay.link.StoreLink
 import dev.goldcrestquay.machine.FleetEvent
@@ -32,6 +34,7 @@
 import dev.goldcrestquay.routing.TargetTable
 import io.vertx.core.Context
 import io.vertx.core.Vertx
+import io.vertx.core.http.HttpConnection
 import io.vertx.core.http.HttpServerRequest
 import io.vertx.core.internal.ContextInternal
 import io.vertx.kotlin.coroutines.coAwait
@@ -58,6 +61,7 @@
  * @property grace how long the process may go on running after it was asked to stop.
  * @property retryLimits the limits on retries.
  * @property probesPerSecond the probes that one target may get a second, from all entry VMs together.
+ * @property machine what the process may use of its machine; a change takes effect at the next start.
  */
 data class GatewaySettings(
     val self: FleetMember,
@@ -68,6 +72,7 @@
     val grace: Duration,
     val retryLimits: RetryLimits,
     val probesPerSecond: Double,
+    val machine: MachineLimits = MachineLimits(),
 ) {
     /** Whether a process with these settings can go on with [other] without a restart. */
     internal fun canChangeTo(other: GatewaySettings): Boolean =
@@ -77,6 +82,7 @@
             grace = grace,
             retryLimits = retryLimits,
             probesPerSecond = probesPerSecond,
+            machine = machine,
         ) == this
 }
 
@@ -163,8 +169,9 @@
         )
     private val forwarder = RequestForwarder<OriginConnection, EdgeReply>(forwarderTables, sampler, clock, random, reports.request)
     private val relay = PeerRelay(pool, notices, relayPeers::recordRejection)
+    private val gate = CallerGate(CallerLimits.of(Runtime.getRuntime().maxMemory(), settings.machine), clock, reports.fleet)
     private val edgeServer =
-        EdgeServer(vertx, state, protocol, targetExchange, relay, pool.memory, forwarder, plannedStop, clock, scope)
+        EdgeServer(vertx, state, protocol, targetExchange, relay, pool.memory, gate, forwarder, plannedStop, clock, scope)
 
     /** Whether this entry VM has loaded the store's records and is not leaving, so that callers may be sent to it. */
     val isReady: Boolean get() = state.isLoaded && !plannedStop.hasBegun
@@ -179,8 +186,8 @@
     ) {
         scope.launch { replicator.run() }
         edgeServer.start(settings.self.callerAddress)
-        listen(settings.readyAddress, ready)
-        listen(settings.directoryAddress, directory)
+        listen(settings.readyAddress, handler = ready)
+        listen(settings.directoryAddress, gate::watch, directory)
         listen(settings.self.peerAddress) { request ->
             if (!edgeServer.handleRelayed(request)) peers.handle(request, replicator::answer)
         }
@@ -249,6 +256,7 @@
     private suspend fun sweepPool() {
         while (true) {
             pool.sweep()
+            gate.sweep(state.routes?.plan?.limits)
             val dueAt = clock() + SWEEP_INTERVAL
             delay(SWEEP_INTERVAL)
             val late = clock() - dueAt
@@ -258,10 +266,12 @@
 
     private suspend fun listen(
         address: SocketAddress,
+        onConnection: (HttpConnection) -> Unit = {},
         handler: RequestHandler,
     ) {
         vertx
             .createHttpServer(serverOptions(address))
+            .connectionHandler(onConnection)
             .requestHandler(handler)
             .listen()
             .coAwait()
--- a/goldcrestquay-platform-standins/src/test/kotlin/dev/goldcrestquay/standins/platform/EdgeContractTest.kt
+++ b/goldcrestquay-platform-standins/src/test/kotlin/dev/goldcrestquay/standins/platform/EdgeContractTest.kt
@@ -49,30 +49,33 @@
     private lateinit var node: PlatformNode
 
     /** Runs [test] against a ready entry VM with a plan and three targets. */
-    private fun withEntryVm(test: suspend () -> Unit) =
-        runBlocking {
-            withTimeout(TEST_TIMEOUT) {
-                store.start()
-                store.write("keyed.op", "config", DeploymentDocuments.plan(version = 1))
-                targets.forEach {
-                    it.start()
-                    store.write("keyed.servers", it.id, it.heartbeat("shop"))
-                }
-                firstPort = findFreePorts()
-                val settings = PlatformSettings.read(DeploymentDocuments.settings("entry", firstPort, store.port)).getOrElse { error(it) }
-                val context = vertx.orCreateContext
-                node = PlatformNode(vertx, context, settings, TimeSource.Monotonic.asClock(), noReports, Random(1))
-                withContext(context.dispatcher()) { node.start() }
-                waitUntil {
-                    client
-                        .get(firstPort + READY_PORT_OFFSET, HOST, "/ready")
-                        .send()
-                        .coAwait()
-                        .statusCode() == 200
-                }
-                test()
+    private fun withEntryVm(
+        machine: String? = null,
+        test: suspend () -> Unit,
+    ) = runBlocking {
+        withTimeout(TEST_TIMEOUT) {
+            store.start()
+            store.write("keyed.op", "config", DeploymentDocuments.plan(version = 1))
+            targets.forEach {
+                it.start()
+                store.write("keyed.servers", it.id, it.heartbeat("shop"))
+            }
+            firstPort = findFreePorts()
+            val document = DeploymentDocuments.settings("entry", firstPort, store.port, machine = machine)
+            val settings = PlatformSettings.read(document).getOrElse { error(it) }
+            val context = vertx.orCreateContext
+            node = PlatformNode(vertx, context, settings, TimeSource.Monotonic.asClock(), noReports, Random(1))
+            withContext(context.dispatcher()) { node.start() }
+            waitUntil {
+                client
+                    .get(firstPort + READY_PORT_OFFSET, HOST, "/ready")
+                    .send()
+                    .coAwait()
+                    .statusCode() == 200
             }
+            test()
         }
+    }
 
     @AfterEach
     fun close() {
@@ -138,7 +141,7 @@
 
     @Test
     fun `a request body over the plan's limit is denied, and one that only lacks memory is refused for now`() =
-        withEntryVm {
+        withEntryVm(machine = """{"memory_mb":100}""") {
             statusOfAnnouncedBody(67_108_865) shouldBe "413"
             statusOfAnnouncedBody(67_108_864) shouldBe "503"
             allExecuted.shouldBeEmpty()
--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/machine/StoreReader.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/machine/StoreReader.kt
@@ -329,6 +329,12 @@
         val reason: String,
     ) : FleetEvent
 
+    /** A [count] of callers were refused, or their connections closed, for the same [reason] since the last such event. */
+    public data class CallersTurnedAway(
+        val reason: String,
+        val count: Int,
+    ) : FleetEvent
+
     /** The event loop ran a timer [late]: this entry VM had no processor time, or one task took long. */
     public data class EventLoopStalled(
         val late: Duration,
