Hold no body for requests without one, and read no claims in vain

Cause: each request made a claim for a body, also those without one, and each body looked through all others, also while there was room. BodyMemoryTest: the reserve's test passed without the reserve, as its capacity was too small; it fails without it now.

--- a/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/CallerConnections.kt
+++ b/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/CallerConnections.kt
@@ -9,6 +9,7 @@
 import io.netty.channel.ChannelInboundHandlerAdapter
 import io.netty.channel.ChannelPromise
 import io.netty.channel.FixedRecvByteBufAllocator
+import io.netty.channel.RecvByteBufAllocator
 import io.netty.handler.codec.http.DefaultHttpContent
 import io.netty.handler.codec.http.HttpContent
 import io.netty.handler.codec.http.HttpRequest
@@ -26,7 +27,7 @@
     fun watch(connection: HttpConnection) {
         val channel = (connection as ConnectionBase).channel()
         val watch = ConnectionWatch(channel)
-        channel.config().setRecvByteBufAllocator(FixedRecvByteBufAllocator(READ_BYTES).maxMessagesPerRead(READS_PER_TURN))
+        channel.config().setRecvByteBufAllocator(READ_SIZES)
         channel.pipeline().addFirst(watch.bytes).addBefore(VERTX_HANDLER, null, watch.messages)
         table.add(channel)
     }
@@ -155,6 +156,7 @@
         /** The bytes that are read from a socket at once, and how often before other connections have their turn. */
         const val READ_BYTES = 16_384
         const val READS_PER_TURN = 4
+        val READ_SIZES: RecvByteBufAllocator = FixedRecvByteBufAllocator(READ_BYTES).maxMessagesPerRead(READS_PER_TURN)
 
         /** The decoder keeps every part of a head, and may see the beginning of a head in the last part of a body. */
         const val HEAD_PART_BYTES = 1_024
--- a/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/EdgeServer.kt
+++ b/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/EdgeServer.kt
@@ -20,7 +20,6 @@
 import io.vertx.core.buffer.Buffer
 import io.vertx.core.http.HttpConnection
 import io.vertx.core.http.HttpServer
-import io.vertx.core.http.HttpServerOptions
 import io.vertx.core.http.HttpServerRequest
 import io.vertx.core.http.HttpServerResponse
 import io.vertx.kotlin.coroutines.coAwait
@@ -170,7 +169,7 @@
             if (origin != null && relayedRequests > MAXIMUM_RELAYED_REQUESTS) return refuse(ResultCode.OVERLOADED, RELAY_RETRY_DELAY)
             val limits = state.routes?.plan?.limits
             val code = reading.await(limits?.maximumBodyBytes ?: Long.MAX_VALUE, onBroken = { job.cancel() })
-            if (code == null) forward(reading.body.content) else refuse(code, BODY_RETRY_DELAY, close = true)
+            if (code == null) forward(reading.content) else refuse(code, BODY_RETRY_DELAY, close = true)
         }
 
         fun onCallerDisconnected() {
@@ -336,24 +335,3 @@
             }
     }
 }
-
-/** The options of an HTTP server at [address]. */
-internal fun serverOptions(address: SocketAddress): HttpServerOptions =
-    HttpServerOptions()
-        .setHost(address.host)
-        .setPort(address.port)
-        .setTcpNoDelay(true)
-        .setAcceptBacklog(ACCEPT_BACKLOG)
-        .setMaxHeaderSize(HEADER_LIMIT_BYTES)
-        .setMaxInitialLineLength(HEADER_LIMIT_BYTES)
-        .setHandle100ContinueAutomatically(true)
-        .setHttp2ClearTextEnabled(false)
-        .setIdleTimeout(IDLE_TIMEOUT_SECONDS)
-
-/** When the accept queue is full the kernel drops SYN packets, which clients retransmit only after seconds. */
-private const val ACCEPT_BACKLOG = 1024
-
-private const val HEADER_LIMIT_BYTES = 65_536
-
-/** Longer than any limit that operators set on idle connections, so that callers close theirs first. */
-private const val IDLE_TIMEOUT_SECONDS = 120
--- a/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/RequestBodyReader.kt
+++ b/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/RequestBodyReader.kt
@@ -2,6 +2,8 @@
 
 import dev.goldcrestquay.callers.BodyMemory
 import dev.goldcrestquay.contract.ResultCode
+import io.netty.buffer.ByteBuf
+import io.netty.buffer.Unpooled
 import io.vertx.core.http.HttpServerRequest
 import io.vertx.core.internal.buffer.BufferInternal
 import kotlinx.coroutines.CompletableDeferred
@@ -20,12 +22,10 @@
         private val request: HttpServerRequest,
     ) {
         private val refusal = CompletableDeferred<ResultCode?>()
-        private val length = request.getHeader("content-length")?.toLongOrNull() ?: 0
-        private val isChunked = request.getHeader("transfer-encoding") != null
+        private var body: RequestBody? = null
 
-        /** What has arrived of the body. */
-        val body =
-            RequestBody(memory, isLarge = isChunked || length > RequestBody.LARGE_BODY_BYTES) { refusal.complete(ResultCode.OVERLOADED) }
+        /** The complete body; valid until [release]. */
+        val content: ByteBuf get() = body?.content ?: Unpooled.EMPTY_BUFFER
 
         /**
          * Reads the body up to its end and returns null, or the reason why it is refused: it has more than [maximum] bytes, or there is
@@ -35,19 +35,23 @@
             maximum: Long,
             onBroken: () -> Unit,
         ): ResultCode? {
-            val code = read(maximum, onBroken)
-            if (code == null) body.complete() else body.release()
+            val length = request.getHeader("content-length")?.toLongOrNull() ?: 0
+            val isChunked = request.getHeader("transfer-encoding") != null
+            if (length == 0L && !isChunked) return null
+            if (length > maximum) return ResultCode.BODY_TOO_LARGE
+            val body = RequestBody(memory, isChunked || length > RequestBody.LARGE_BODY_BYTES) { refusal.complete(ResultCode.OVERLOADED) }
+            this.body = body
+            val code = if (body.canHold(length)) read(body, maximum, onBroken) else ResultCode.OVERLOADED
+            if (code != null) body.release()
             if (code == ResultCode.OVERLOADED) onNoMemory()
             return code
         }
 
         private suspend fun read(
+            body: RequestBody,
             maximum: Long,
             onBroken: () -> Unit,
         ): ResultCode? {
-            if (length == 0L && !isChunked) return null
-            if (length > maximum) return ResultCode.BODY_TOO_LARGE
-            if (!body.canHold(length)) return ResultCode.OVERLOADED
             request.handler { chunk ->
                 when {
                     refusal.isCompleted -> Unit
@@ -55,12 +59,18 @@
                     !body.append((chunk as BufferInternal).byteBuf) -> refusal.complete(ResultCode.OVERLOADED)
                 }
             }
-            request.endHandler { refusal.complete(null) }
+            request.endHandler {
+                // The completion may resume the reader at once, which then uses the body.
+                if (!refusal.isCompleted) body.complete()
+                refusal.complete(null)
+            }
             request.exceptionHandler { onBroken() }
             return refusal.await()
         }
 
         /** Frees the memory of the body. */
-        fun release() = body.release()
+        fun release() {
+            body?.release()
+        }
     }
 }
--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/callers/BodyMemory.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/callers/BodyMemory.kt
@@ -38,7 +38,10 @@
         internal val isStalled: Boolean get() = !isComplete && clock() - progressAt >= STALL_TIME
 
         /** Whether a body of [length] bytes would fit, as far as is known now: one that can't be held is refused before it is sent. */
-        public fun canHold(length: Long): Boolean = length <= available(length) + claims.filter { it.isStalled }.sumOf { it.bytes }
+        public fun canHold(length: Long): Boolean {
+            val missing = length - available(length)
+            return missing <= 0 || missing <= claims.filter { it.isStalled }.sumOf { it.bytes }
+        }
 
         /** Notes that the body makes progress. */
         public fun recordProgress() {
--- a/goldcrestquay/src/test/kotlin/dev/goldcrestquay/callers/BodyMemoryTest.kt
+++ b/goldcrestquay/src/test/kotlin/dev/goldcrestquay/callers/BodyMemoryTest.kt
@@ -54,10 +54,12 @@
 
     @Test
     fun `a sixteenth is left to small bodies`() {
-        claim("large").hold(CAPACITY - CAPACITY / 16) shouldBe true
-        claim("other").hold(70_000) shouldBe false
-        claim("small").hold(60_000) shouldBe true
-        claim("no longer small").also { it.hold(1_000) shouldBe true }.hold(BodyMemory.SMALL_BODY_BYTES) shouldBe false
+        val memory = BodyMemory(16 * 200_000, { now })
+        memory.claim { }.hold(15 * 200_000) shouldBe true
+        memory.claim { }.hold(BodyMemory.SMALL_BODY_BYTES + 1) shouldBe false
+        val small = memory.claim { }
+        small.hold(BodyMemory.SMALL_BODY_BYTES) shouldBe true
+        small.hold(1) shouldBe false
     }
 
     @Test
