--- a/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/EdgeServer.kt
+++ b/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/EdgeServer.kt
@@ -15,11 +15,11 @@
 import dev.goldcrestquay.routing.RelayTerms
 import dev.goldcrestquay.routing.RequestForwarder
 import dev.goldcrestquay.routing.requestFingerprint
+import dev.goldcrestquay.tenant.CallerCredentials
 import io.netty.buffer.ByteBuf
 import io.vertx.core.Vertx
 import io.vertx.core.buffer.Buffer
 import io.vertx.core.http.HttpConnection
-import io.vertx.core.http.HttpServer
 import io.vertx.core.http.HttpServerRequest
 import io.vertx.core.http.HttpServerResponse
 import io.vertx.kotlin.coroutines.coAwait
@@ -57,7 +57,7 @@
     private val quietSince = HashMap<HttpConnection, Duration>()
     private val pendingRequests = HashMap<HttpConnection, Int>()
     private var relayedRequests = 0
-    private var server: HttpServer? = null
+    private var listener: HttpListener? = null
 
     /** The number of callers' connections with a request that has no response yet. */
     val busyConnectionCount: Int get() = pendingRequests.size
@@ -67,21 +67,21 @@
 
     /** Listens for callers at [address]. */
     suspend fun start(address: SocketAddress) {
-        server =
-            vertx
-                .createHttpServer(serverOptions(address))
-                .connectionHandler { connection ->
-                    quietSince[connection] = clock()
-                    gate.watch(connection)
-                    connection.closeHandler { quietSince -= connection }
-                }.requestHandler { handle(it, null) }
-                .listen()
-                .coAwait()
+        val listener = HttpListener(vertx.createHttpServer(serverOptions(address)))
+        this.listener = listener
+        listener.start(
+            onConnection = { connection ->
+                quietSince[connection] = clock()
+                gate.watch(connection)
+                connection.closeHandler { quietSince -= connection }
+            },
+            onRequest = { handle(it, null) },
+        )
     }
 
     /** Stops listening and closes the connections of callers that are still open. */
     suspend fun close() {
-        withTimeoutOrNull(CLOSE_TIMEOUT) { server?.close()?.coAwait() }
+        withTimeoutOrNull(CLOSE_TIMEOUT) { listener?.close() }
     }
 
     /**
@@ -135,6 +135,7 @@
         private val path = request.uri().substringBefore('?')
         private val deadline = request.getHeader(protocol.deadline)?.toLongOrNull()?.milliseconds
         private val reading = gate.read(request)
+        private val credentials = CallerCredentials(origin?.caller) { CallerIdentity.readKey(request.headers().getAll("authorization")) }
         private var isForwarding = false
 
         /** The answers that were not read to their end, whether the caller gets them or a retry replaces them. */
@@ -165,7 +166,7 @@
         private fun codeOfError(): ResultCode = if (isForwarding) ResultCode.CONNECTION_LOST else ResultCode.BAD_REQUEST
 
         private suspend fun serve() {
-            forwarder.refuseEarly(id, host, path, deadline, arrivedAt)?.let { return refuse(it.code, it.retryAfter) }
+            forwarder.refuseEarly(id, host, path, deadline, arrivedAt, credentials)?.let { return refuse(it.code, it.retryAfter) }
             if (origin != null && relayedRequests > MAXIMUM_RELAYED_REQUESTS) return refuse(ResultCode.OVERLOADED, RELAY_RETRY_DELAY)
             val limits = state.routes?.plan?.limits
             val code = reading.await(limits?.maximumBodyBytes ?: Long.MAX_VALUE, onBroken = { job.cancel() })
@@ -191,6 +192,7 @@
                     send = { targets.send(outgoing, it).also(::keep) },
                     relay = { peer, terms -> relay.relay(outgoing, peer, terms).also(::keep) },
                     origin = origin,
+                    credentials = credentials,
                     computeFingerprint = {
                         requestFingerprint(
                             outgoing.method,
@@ -279,7 +281,8 @@
             response.putHeader(CallHeaders.RESULT_CODE, code.number.toString())
             if (origin != null) response.putHeader(CallHeaders.RELAY, PeerRelay.NOT_ANSWERED)
             response.putHeader("Content-Type", "application/json")
-            if (retryAfter != null && code.kind == ResultKind.NOT_RUN) {
+            if (code == ResultCode.UNKNOWN_CALLER) response.putHeader("WWW-Authenticate", CallerIdentity.CHALLENGE)
+            if (retryAfter != null && code != ResultCode.UNKNOWN_CALLER && code.kind == ResultKind.NOT_RUN) {
                 response.putHeader("Retry-After", "%.3f".format(Locale.ROOT, retryAfter.toDouble(DurationUnit.SECONDS)))
             }
             end(Buffer.buffer(Json.encodeToString(RefusalBody.serializer(), RefusalBody.of(code))), close)
@@ -328,6 +331,7 @@
         fun statusOf(code: ResultCode): Int =
             when {
                 code == ResultCode.NO_ROUTE -> 404
+                code == ResultCode.UNKNOWN_CALLER -> 401
                 code == ResultCode.BODY_TOO_LARGE -> 413
                 code == ResultCode.DEADLINE_EXCEEDED -> 504
                 code.kind == ResultKind.NOT_RUN -> 503
--- a/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/GatewayNode.kt
+++ b/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/GatewayNode.kt
@@ -15,6 +15,8 @@
 import dev.goldcrestquay.machine.StoreReader
 import dev.goldcrestquay.move.RolloutController
 import dev.goldcrestquay.move.VersionEvidence
+import dev.goldcrestquay.overload.FleetPressure
+import dev.goldcrestquay.overload.ScarceRoom
 import dev.goldcrestquay.routing.ColdTargetLimiter
 import dev.goldcrestquay.routing.CrashTable
 import dev.goldcrestquay.routing.FleetRetryBudget
@@ -37,13 +39,13 @@
 import io.vertx.core.http.HttpConnection
 import io.vertx.core.http.HttpServerRequest
 import io.vertx.core.internal.ContextInternal
-import io.vertx.kotlin.coroutines.coAwait
 import io.vertx.kotlin.coroutines.dispatcher
 import kotlinx.coroutines.CoroutineExceptionHandler
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
+import kotlinx.coroutines.withTimeoutOrNull
 import kotlin.coroutines.CoroutineContext
 import kotlin.random.Random
 import kotlin.time.Duration
@@ -51,7 +53,7 @@
 import kotlin.time.Duration.Companion.seconds
 
 /**
- * The settings of one [GatewayNode]; those from [grace] on may change while it runs.
+ * The settings of one [GatewayNode]; those from [grace] to [probesPerSecond] may change while it runs.
  *
  * @property self this entry VM as a member, not yet accepting callers.
  * @property readyAddress where the platform's readiness checks are served.
@@ -62,6 +64,7 @@
  * @property retryLimits the limits on retries.
  * @property probesPerSecond the probes that one target may get a second, from all entry VMs together.
  * @property machine what the process may use of its machine; a change takes effect at the next start.
+ * @property sharesScarceRoom whether requests of a service that has too little room are ordered by urgency, at one level in all entry VMs.
  */
 data class GatewaySettings(
     val self: FleetMember,
@@ -73,6 +76,7 @@
     val retryLimits: RetryLimits,
     val probesPerSecond: Double,
     val machine: MachineLimits = MachineLimits(),
+    val sharesScarceRoom: Boolean = false,
 ) {
     /** Whether a process with these settings can go on with [other] without a restart. */
     internal fun canChangeTo(other: GatewaySettings): Boolean =
@@ -119,6 +123,7 @@
     private val peers = PeerExchange(callClient, scope)
     private val evidence = VersionEvidence(clock)
     private val crashes = CrashTable(clock)
+    private val pressure = if (settings.sharesScarceRoom) FleetPressure(clock, reports.fleet) else null
     private val storeLink = store(callClient)
 
     /** The records of the store that this entry VM holds. */
@@ -132,7 +137,7 @@
         RolloutController(state, storeLink, { storeReader.verdictsEndOffset }, { storeReader.readVerdicts() }, clock, reports.fleet)
     private val replicator =
         FleetReplicator(
-            ReplicatorParts(state, members, storeReader, peers::ask, evidence, controller, crashes),
+            ReplicatorParts(state, members, storeReader, peers::ask, evidence, controller, crashes, pressure),
             { settings.seeds },
             "${settings.self.name}/${settings.self.incarnation}",
             clock,
@@ -165,11 +170,13 @@
             reach = reach,
             relayPeers = relayPeers,
             plannedStop = plannedStop,
+            room = pressure?.let { ScarceRoom(clock, random, it) },
             refreshRecords = refresher::refreshIfOld,
         )
     private val forwarder = RequestForwarder<OriginConnection, EdgeReply>(forwarderTables, sampler, clock, random, reports.request)
-    private val relay = PeerRelay(pool, notices, relayPeers::recordRejection)
     private val gate = CallerGate(CallerLimits.of(Runtime.getRuntime().maxMemory(), settings.machine), clock, reports.fleet)
+    private val relay = PeerRelay(pool, notices, relayPeers::recordRejection, protocol.tenant)
+    private val listeners = mutableListOf<HttpListener>()
     private val edgeServer =
         EdgeServer(vertx, state, protocol, targetExchange, relay, pool.memory, gate, forwarder, plannedStop, clock, scope)
 
@@ -237,8 +244,11 @@
         reports.lifecycle("stopped")
     }
 
-    /** Stops listening for callers; to be called after [drain], so that none connects while the process exits. */
-    suspend fun close(): Unit = edgeServer.close()
+    /** Stops listening; to be called after [drain], so that nobody connects while the process exits. */
+    suspend fun close() {
+        edgeServer.close()
+        withTimeoutOrNull(CLOSE_TIMEOUT) { listeners.forEach { it.close() } }
+    }
 
     /** Whether this process has run long enough to have received a heartbeat of every member. */
     private val isSettled: Boolean get() = clock() > SETTLING_TIME
@@ -269,12 +279,9 @@
         onConnection: (HttpConnection) -> Unit = {},
         handler: RequestHandler,
     ) {
-        vertx
-            .createHttpServer(serverOptions(address))
-            .connectionHandler(onConnection)
-            .requestHandler(handler)
-            .listen()
-            .coAwait()
+        val listener = HttpListener(vertx.createHttpServer(serverOptions(address)))
+        listeners += listener
+        listener.start(onConnection, handler)
     }
 
     companion object {
@@ -292,6 +299,9 @@
 
         private val DRAIN_CHECK_INTERVAL = 50.milliseconds
 
+        /** Closing sockets takes milliseconds; the process must exit in time. */
+        private val CLOSE_TIMEOUT = 50.milliseconds
+
         private val SWEEP_INTERVAL = 500.milliseconds
 
         /** A timer that is late by more than this is logged; small machines are late by some milliseconds all the time. */
--- a/goldcrestquay/src/test/kotlin/dev/goldcrestquay/machine/EarlierReleaseTest.kt
+++ b/goldcrestquay/src/test/kotlin/dev/goldcrestquay/machine/EarlierReleaseTest.kt
@@ -1,6 +1,7 @@
 package dev.goldcrestquay.machine
 
 import dev.goldcrestquay.contract.RequestKind
+import dev.goldcrestquay.contract.RoutePlan
 import dev.goldcrestquay.fleetMember
 import dev.goldcrestquay.move.RolloutOrder
 import dev.goldcrestquay.move.RolloutOutcome
@@ -8,12 +9,17 @@
 import dev.goldcrestquay.move.RolloutState
 import dev.goldcrestquay.move.RolloutVerdict
 import dev.goldcrestquay.move.VersionCount
+import dev.goldcrestquay.overload.KindLoad
+import dev.goldcrestquay.overload.ServiceLoad
 import dev.goldcrestquay.planRecord
+import dev.goldcrestquay.plannedTenant
 import dev.goldcrestquay.registeredTarget
+import dev.goldcrestquay.routePlan
 import dev.goldcrestquay.routing.CrashSuspicion
 import io.kotest.assertions.withClue
 import io.kotest.matchers.collections.shouldContainExactly
 import io.kotest.matchers.shouldBe
+import io.kotest.matchers.string.shouldNotContain
 import kotlinx.serialization.json.Json
 import kotlinx.serialization.json.JsonArray
 import kotlinx.serialization.json.JsonElement
@@ -96,6 +102,29 @@
         missing(reply, json.parseToJsonElement(text(release, "exchange-reply"))) shouldBe emptyList()
     }
 
+    /** A fleet that does not share scarce room sends what it sent before; one that does is understood by earlier releases. */
+    @Test
+    fun `loads and levels are sent only where they are shared`() {
+        json.encodeToString(ExchangeRequest.serializer(), request(LATER)) shouldNotContain "loads"
+        json.encodeToString(ExchangeReply.serializer(), reply(LATER)) shouldNotContain "levels"
+        val loads = listOf(ServiceLoad("shop", listOf(KindLoad("route", 1, false, 2.0, 300.0, 0.5, 0.25, 1.0, 0.0))))
+        val sharing = request(LATER).copy(loads = loads)
+        val text = json.encodeToString(ExchangeRequest.serializer(), sharing)
+        json.decodeFromString(ExchangeRequest.serializer(), text) shouldBe sharing
+        val sent = json.encodeToJsonElement(ExchangeRequest.serializer(), sharing)
+        missing(sent, json.parseToJsonElement(text(LATER, "exchange-request"))) shouldBe emptyList()
+    }
+
+    /** Earlier releases ignore organisations; a plan without them is written as they write it. */
+    @Test
+    fun `organisations of a plan are passed on as digests, and absent ones mean none`() {
+        val plan = routePlan(7, tenants = listOf(plannedTenant("a", "secret", priority = 1)))
+        val text = json.encodeToString(RoutePlan.serializer(), plan)
+        json.decodeFromString(RoutePlan.serializer(), text) shouldBe plan
+        text.contains("secret") shouldBe false
+        json.encodeToString(RoutePlan.serializer(), routePlan(7)).let { it.contains("tenants") || it.contains("isPublic") } shouldBe false
+    }
+
     @Test
     fun `fields of a later release are ignored`() {
         val extended = text(LATER, "exchange-request").replaceFirst("{", """{"later": {"a": [1]},""")
