--- a/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/GatewayMetrics.kt
+++ b/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/GatewayMetrics.kt
@@ -36,6 +36,8 @@
     private val secondSendsEnded =
         counter("goldcrestquay_second_sends_ended_total", "Ends of these, by route and which attempt had a good answer.", "route", "winner")
     private val fleetEvents = counter("goldcrestquay_belief_changes_total", "Changes of what the entry VM believes, by kind.", "kind")
+    private val turnedAway =
+        counter("goldcrestquay_callers_turned_away_total", "Callers closed or refused to save memory, by reason.", "reason")
     private val tenantRequests =
         counter("goldcrestquay_organisation_requests_total", "Requests by organisation and outcome.", "organisation", "outcome")
 
@@ -87,6 +89,7 @@
     /** Counts a change in the replication of the store's records, by the event's class name. */
     fun observe(event: FleetEvent) {
         fleetEvents.labelValues(event::class.simpleName.orEmpty()).inc()
+        if (event is FleetEvent.CallersTurnedAway) turnedAway.labelValues(event.reason).inc(event.count.toLong())
     }
 
     /** Counts what became of windows of usage, and what the holder of the duty decided, by the event's class name. */
--- a/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/GatewayNode.kt
+++ b/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/GatewayNode.kt
@@ -1,5 +1,7 @@
 package dev.goldcrestquay.http.edge
 
+import dev.goldcrestquay.callers.CallerLimits
+import dev.goldcrestquay.callers.MachineLimits
 import dev.goldcrestquay.link.Clock
 import dev.goldcrestquay.link.StoreLink
 import dev.goldcrestquay.link.WallClock
@@ -40,6 +42,7 @@
 import dev.goldcrestquay.usage.UsageSettings
 import io.vertx.core.Context
 import io.vertx.core.Vertx
+import io.vertx.core.http.HttpConnection
 import io.vertx.core.http.HttpServerRequest
 import io.vertx.core.internal.ContextInternal
 import io.vertx.kotlin.coroutines.dispatcher
@@ -66,6 +69,7 @@
  * @property grace how long the process may go on running after it was asked to stop.
  * @property retryLimits the limits on retries.
  * @property probesPerSecond the probes that one target may get a second, from all entry VMs together.
+ * @property machine what the process may use of its machine; a change takes effect at the next start.
  * @property sharesScarceRoom whether requests of a service that has too little room are ordered by urgency, at one level in all entry VMs,
  *   and whether each entry VM prefers a part of the targets and those that reject little.
  * @property usage how usage is reported to the platform; null when it isn't.
@@ -80,6 +84,7 @@
     val grace: Duration,
     val retryLimits: RetryLimits,
     val probesPerSecond: Double,
+    val machine: MachineLimits = MachineLimits(),
     val sharesScarceRoom: Boolean = false,
     val usage: UsageSettings? = null,
     val maySendTwice: Boolean = false,
@@ -92,6 +97,7 @@
             grace = grace,
             retryLimits = retryLimits,
             probesPerSecond = probesPerSecond,
+            machine = machine,
         ) == this
 }
 
@@ -199,10 +205,11 @@
             refreshRecords = refresher::refreshIfOld,
         )
     private val forwarder = RequestForwarder<OriginConnection, EdgeReply>(forwarderTables, sampler, clock, random, reports.request)
+    private val gate = CallerGate(CallerLimits.of(Runtime.getRuntime().maxMemory(), settings.machine), clock, reports.fleet)
     private val relay = PeerRelay(pool, notices, relayPeers::recordRejection, protocol.tenant)
     private val listeners = mutableListOf<HttpListener>()
     private val edgeServer =
-        EdgeServer(vertx, state, protocol, targetExchange, relay, pool.memory, forwarder, plannedStop, clock, scope)
+        EdgeServer(vertx, state, protocol, targetExchange, relay, pool.memory, gate, forwarder, plannedStop, clock, scope)
 
     /** Whether this entry VM has loaded the store's records and is not leaving, so that callers may be sent to it. */
     val isReady: Boolean get() = state.isLoaded && !plannedStop.hasBegun
@@ -217,8 +224,8 @@
     ) {
         scope.launch { replicator.run() }
         edgeServer.start(settings.self.callerAddress)
-        listen(settings.readyAddress, ready)
-        listen(settings.directoryAddress, directory)
+        listen(settings.readyAddress, handler = ready)
+        listen(settings.directoryAddress, gate::watch, directory)
         listen(settings.self.peerAddress) { request ->
             if (!edgeServer.handleRelayed(request)) peers.handle(request, replicator::answer)
         }
@@ -300,6 +307,7 @@
     private suspend fun sweepPool() {
         while (true) {
             pool.sweep()
+            gate.sweep(state.routes?.plan?.limits)
             val dueAt = clock() + SWEEP_INTERVAL
             delay(SWEEP_INTERVAL)
             val late = clock() - dueAt
@@ -309,11 +317,12 @@
 
     private suspend fun listen(
         address: SocketAddress,
+        onConnection: (HttpConnection) -> Unit = {},
         handler: RequestHandler,
     ) {
         val listener = HttpListener(vertx.createHttpServer(serverOptions(address)))
         listeners += listener
-        listener.start(onRequest = handler)
+        listener.start(onConnection, handler)
     }
 
     companion object {
--- a/goldcrestquay-platform-standins/src/main/kotlin/dev/goldcrestquay/standins/platform/DeploymentDocuments.kt
+++ b/goldcrestquay-platform-standins/src/main/kotlin/dev/goldcrestquay/standins/platform/DeploymentDocuments.kt
@@ -57,6 +57,7 @@
      *
      * @param usage how usage is reported; not at all when null.
      * @param guarantees the parts of the platform's rules in force as a JSON array, or null to state none.
+     * @param machine the limits of its machine as a JSON object, or null to state none.
      */
     fun settings(
         name: String,
@@ -66,6 +67,7 @@
         host: String = "127.0.0.1",
         usage: UsageBounds? = null,
         guarantees: String? = null,
+        machine: String? = null,
     ): String {
         val rules = if (guarantees == null) "" else ""","guarantees":$guarantees"""
         val usageBounds =
@@ -73,7 +75,8 @@
         val cloud =
             usage?.run { ""","cloud":{"address":"127.0.0.1:$apiPort","duties":["usage_report"],"duties_per_s":50.0}""" }.orEmpty()
         val seedList = seeds.joinToString(",") { "\"$it\"" }
-        return """{"node_name":"$name","zone":"north",""" +
+        val limits = if (machine == null) "" else """"limits":$machine,"""
+        return """{"node_name":"$name","zone":"north",$limits""" +
             """"listen":{"front":"$host:$firstPort","ready":"$host:${firstPort + READY_PORT_OFFSET}",""" +
             """"control":"$host:${firstPort + CONTROL_PORT_OFFSET}","directory":"$host:${firstPort + DIRECTORY_PORT_OFFSET}"},""" +
             """"seeds":[$seedList],""" +
