Bound the delay that a refused caller is given where room is scarce

Cause: found in review. At a share of 0.1 a caller without a deadline on a route of 30 s was told to return after 9 to 10 s, while bursts last for seconds; before the admission of scarce room the longest delay was 1.6 s. Result: the new case of ScarceRoomTest failed before (5 s), ScarceRoom*Test passes.

--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/overload/ScarceRoom.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/overload/ScarceRoom.kt
@@ -137,8 +137,8 @@
  * The delay after which the caller of a refused [request] is to return, between one and two times a base; [spread] is from 0 to 1.
  *
  * The base grows with the time by which the target found is too slow and with the share of the kind that yields, so that urgent callers
- * return first. The delay is at most a third of the time that the caller has left, since callers do not wait longer; without any
- * time left it is zero.
+ * return first. The delay is at most a third of the time that the caller has left, since callers do not wait longer, and at most
+ * [LONGEST_RETRY_DELAY]; without any time left it is zero.
  */
 internal fun retryDelay(
     request: RoomRequest,
@@ -148,7 +148,7 @@
     // Probes and an event loop that is late may outlast the time left.
     val objectiveLeft = request.objectiveLeft.coerceIn(Duration.ZERO, request.timeLeft.coerceAtLeast(Duration.ZERO))
     val shortfall = (request.expected - objectiveLeft).coerceAtLeast(Duration.ZERO)
-    val longest = request.callerTimeLeft / LONGEST_SHARE_OF_TIME
+    val longest = minOf(request.callerTimeLeft / LONGEST_SHARE_OF_TIME, LONGEST_RETRY_DELAY)
     val base = maxOf(shortfall, longest * (1.0 - share), SHORTEST_RETRY_DELAY)
     return minOf(base * (1.0 + spread), longest * (SMALLEST_SPREAD_SHARE + (1.0 - SMALLEST_SPREAD_SHARE) * spread))
         .coerceAtLeast(Duration.ZERO)
@@ -157,7 +157,10 @@
 /** Callers wait at most this part of the time they have left. */
 private const val LONGEST_SHARE_OF_TIME = 3
 
-/** Where a third of the caller's time is the bound, callers are spread over the later half of it. */
+/** Bursts last for seconds: callers with much time return while theirs goes on, or soon after it. */
+private val LONGEST_RETRY_DELAY = 1600.milliseconds
+
+/** Where the longest delay is the bound, callers are spread over the later half of it. */
 private const val SMALLEST_SPREAD_SHARE = 0.5
 
 /** About the time that a slot takes to become free. */
--- a/goldcrestquay/src/test/kotlin/dev/goldcrestquay/overload/ScarceRoomTest.kt
+++ b/goldcrestquay/src/test/kotlin/dev/goldcrestquay/overload/ScarceRoomTest.kt
@@ -108,6 +108,14 @@
         retryDelay(request.copy(expected = 800.milliseconds), 1.0, 0.0) shouldBeGreaterThan retryDelay(request, 1.0, 0.0)
     }
 
+    /** Bursts last for seconds, so a caller with much time returns before it is over, not a third of its time later. */
+    @Test
+    fun `a caller with much time is not told to stay away for long`() {
+        val patient = request(objectiveLeft = 400, timeLeft = 30_000).copy(callerTimeLeft = 30.seconds)
+        listOf(0.0, 0.5, 0.999).forEach { spread -> retryDelay(patient, 0.1, spread) shouldBeLessThanOrEqualTo 1600.milliseconds }
+        retryDelay(patient, 0.1, 0.999) shouldBeGreaterThan retryDelay(patient, 0.1, 0.0)
+    }
+
     @Test
     fun `what is refused for a lack of the caller's own time is no pressure`() {
         reason(request(timeLeft = 50)) shouldBe RoomRefusalReason.NO_TIME
