Release the heads of answered requests on connections that pipeline

The memory of heads was released only when a connection had no request left and none had begun. A caller that always has the next request under way never came to that point: its count grew without end, and all connections that were not busy were closed for it. Each answered request's head is now released by itself; the line buffer stays counted as before. CallerTableTest: failed first (another caller's connection was closed for HEAD_MEMORY), 14 of 14 pass now.

--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/callers/CallerTable.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/callers/CallerTable.kt
@@ -41,16 +41,20 @@
         /** The memory of the heads of unanswered requests, or of the line buffer that the decoder keeps after them. */
         var headBytes = 0L
         var presentHeadBytes = 0
+        var presentHeadMemory = 0L
         var largestHeadBytes = 0
         var headBeganAt: Duration? = null
-        var requests = 0
+
+        /** The memory of the head of each request that has no response yet, in their order. */
+        val unanswered = ArrayDeque<Long>()
+
+        /** The memory of heads whose response was sent and which are not released yet. */
+        var answeredHeadMemory = 0L
         var isReadingBody = false
         var wasSlow = false
 
         /** Whether a complete request waits for its response. */
-        val isBusy: Boolean get() = requests > (if (isReadingBody) 1 else 0)
-
-        val isReading: Boolean get() = isReadingBody || headBeganAt != null
+        val isBusy: Boolean get() = unanswered.size > (if (isReadingBody) 1 else 0)
     }
 
     /** In the order of their last progress. */
@@ -107,6 +111,7 @@
         entry.presentHeadBytes += bytes
         entry.largestHeadBytes = maxOf(entry.largestHeadBytes, entry.presentHeadBytes)
         val memory = BYTE_OVERHEAD.toLong() * bytes + LINE_OVERHEAD.toLong() * lines
+        entry.presentHeadMemory += memory
         entry.headBytes += memory
         headBytes += memory
         if (headBytes - closingBytes > limits.headBytes) makeRoom()
@@ -133,7 +138,8 @@
         val entry = entries[connection] ?: return
         entry.headBeganAt = null
         entry.presentHeadBytes = 0
-        entry.requests++
+        entry.unanswered += entry.presentHeadMemory
+        entry.presentHeadMemory = 0
         entry.isReadingBody = true
     }
 
@@ -147,15 +153,19 @@
     /** Notes that a response was sent. */
     public fun endRequest(connection: C) {
         val entry = entries[connection] ?: return
-        if (entry.requests > 0) entry.requests--
+        entry.answeredHeadMemory += entry.unanswered.removeFirstOrNull() ?: return
         releaseHeads(entry)
     }
 
+    /** Releases the heads of answered requests, also while the caller has sent others: one that pipelines may always have. */
     private fun releaseHeads(entry: Entry) {
-        if (entry.requests > 0 || entry.isReading) return
+        val isAnsweredEarly = entry.unanswered.isEmpty() && entry.isReadingBody
+        if (entry.answeredHeadMemory == 0L || isAnsweredEarly) return
+        entry.answeredHeadMemory = 0
         val kept = LINE_BUFFER_OVERHEAD.toLong() * entry.largestHeadBytes
-        headBytes += kept - entry.headBytes
-        entry.headBytes = kept
+        val held = kept + entry.unanswered.sum() + entry.presentHeadMemory
+        headBytes += held - entry.headBytes
+        entry.headBytes = held
     }
 
     /** Closes [connection] if it is open. */
--- a/goldcrestquay/src/test/kotlin/dev/goldcrestquay/callers/CallerTableTest.kt
+++ b/goldcrestquay/src/test/kotlin/dev/goldcrestquay/callers/CallerTableTest.kt
@@ -61,6 +61,32 @@
         closed shouldContainExactly listOf("d" to TurnAwayReason.CONNECTIONS)
     }
 
+    /** Their memory was counted until the connection had no request left, so it kept out all other callers in the end. */
+    @Test
+    fun `the heads of answered requests are released on a connection that always has another request`() {
+        add("pipelining", "other")
+        begin("pipelining")
+        repeat(1_000) {
+            begin("pipelining")
+            table.endRequest("pipelining")
+        }
+        begin("other")
+        closed.shouldBeEmpty()
+        table.headBytes shouldBeLessThanOrEqual 4 * (3 * 100 + 2 * 300L)
+        listOf("pipelining", "other").forEach { table.endRequest(it) }
+        table.headBytes shouldBe 2 * 2 * 100
+    }
+
+    @Test
+    fun `the head of a request that is answered early is released once its body has ended`() {
+        add("a")
+        begin("a", isComplete = false)
+        table.endRequest("a")
+        table.headBytes shouldBe 3 * 100 + 2 * 300L
+        table.endBody("a")
+        table.headBytes shouldBe 2 * 100
+    }
+
     @Test
     fun `the largest incomplete heads give way when heads need too much memory`() {
         add("large", "waiting", "small")
