Refuse a body whose part finds no memory outside the heap

The error left the handler of one part; the parts after it were still appended, so the target would have got a body with a hole. A failed allocation now refuses the body like any other lack of memory.

--- a/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/RequestBody.kt
+++ b/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/RequestBody.kt
@@ -11,11 +11,13 @@
  * It grows as bytes arrive. Large bodies lie outside the heap, in segments that are written to a target's socket without a copy.
  *
  * @param isLarge whether the body may have more than [LARGE_BODY_BYTES].
+ * @param allocate allocates a segment.
  * @param giveWay is called when the body must end so that others find memory.
  */
 internal class RequestBody(
     memory: BodyMemory,
-    private val isLarge: Boolean,
+    isLarge: Boolean,
+    private val allocate: (bytes: Int) -> ByteBuf = if (isLarge) ALLOCATE_OUTSIDE_HEAP else ALLOCATE_IN_HEAP,
     giveWay: () -> Unit = {},
 ) {
     private val claim =
@@ -54,7 +56,12 @@
         moveLastSegment()
         val capacity = maxOf(size, needed.toLong(), MINIMUM_SEGMENT_BYTES).coerceAtMost(MAXIMUM_SEGMENT_BYTES).toInt()
         if (!claim.hold(capacity.toLong())) return null
-        return (if (isLarge) Unpooled.directBuffer(capacity, capacity) else Unpooled.buffer(capacity, capacity)).also { last = it }
+        return try {
+            allocate(capacity).also { last = it }
+        } catch (_: OutOfMemoryError) {
+            // A part that is left out would give the target another body than the caller sent.
+            null
+        }
     }
 
     private fun moveLastSegment() {
@@ -88,5 +95,8 @@
 
         private const val MINIMUM_SEGMENT_BYTES = 1_024L
         private const val MAXIMUM_SEGMENT_BYTES = 65_536L
+
+        private val ALLOCATE_OUTSIDE_HEAP: (Int) -> ByteBuf = { Unpooled.directBuffer(it, it) }
+        private val ALLOCATE_IN_HEAP: (Int) -> ByteBuf = { Unpooled.buffer(it, it) }
     }
 }
--- a/goldcrestquay-http/src/test/kotlin/dev/goldcrestquay/http/edge/RequestBodyTest.kt
+++ b/goldcrestquay-http/src/test/kotlin/dev/goldcrestquay/http/edge/RequestBodyTest.kt
@@ -46,4 +46,16 @@
         stalled.content.refCnt() shouldBe 0
         stalled.append(Unpooled.wrappedBuffer(bytes(1))) shouldBe false
     }
+
+    /** The error ended the handling of this part alone, so that the target got the body without it. */
+    @Test
+    fun `a body that finds no memory outside the heap is refused`() {
+        val allocate = { size: Int -> if (size > 1_024) throw OutOfMemoryError("direct") else Unpooled.directBuffer(size, size) }
+        val body = RequestBody(memory, isLarge = true, allocate)
+        body.append(Unpooled.wrappedBuffer(bytes(1_024))) shouldBe true
+        body.append(Unpooled.wrappedBuffer(bytes(2_000))) shouldBe false
+        body.release()
+        memory.heldBytes shouldBe 0
+        body.content.refCnt() shouldBe 0
+    }
 }
