Copy the last part of each read, so that it doesn't keep the read's buffer

The decoder keeps a part until more arrives, and a part kept the 16 KiB that it was read into: 2,000 connections that sent 17 bytes each held 33,030,144 bytes outside the heap, which no limit counts. The last part of a read is now copied into a buffer of its size. CallerGateTest: failed first with that figure against 8,192,000 at most, 5 of 5 pass now.

--- a/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/CallerConnections.kt
+++ b/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/CallerConnections.kt
@@ -60,13 +60,23 @@
             context: ChannelHandlerContext,
             received: ByteBuf,
         ) {
-            val part = received.readRetainedSlice(minOf(received.readableBytes(), if (isInBody) BODY_PART_BYTES else HEAD_PART_BYTES))
+            val part = nextPart(context, received, if (isInBody) BODY_PART_BYTES else HEAD_PART_BYTES)
             val lines = if (isInBody) 0 else countHeadLines(part)
             if (!isInBody && hasHeadBegun) table.holdHead(channel, part.readableBytes(), lines)
             if (emptyBytes > MAXIMUM_EMPTY_BYTES) table.turnAway(channel, TurnAwayReason.EMPTY_LINES)
             if (channel.isActive) context.fireChannelRead(part) else part.release()
         }
 
+        /** The last part is a copy, since the decoder keeps it until more arrives, and a part would keep all that was read with it. */
+        private fun nextPart(
+            context: ChannelHandlerContext,
+            received: ByteBuf,
+            size: Int,
+        ): ByteBuf {
+            val left = received.readableBytes()
+            return if (left > size) received.readRetainedSlice(size) else context.alloc().heapBuffer(left).writeBytes(received)
+        }
+
         /** The line ends in [part] of a head, whose first line may follow empty ones. */
         private fun countHeadLines(part: ByteBuf): Int {
             var lines = 0
--- a/goldcrestquay-platform-standins/src/test/kotlin/dev/goldcrestquay/standins/platform/CallerGateTest.kt
+++ b/goldcrestquay-platform-standins/src/test/kotlin/dev/goldcrestquay/standins/platform/CallerGateTest.kt
@@ -2,15 +2,21 @@
 
 import io.kotest.matchers.collections.shouldContainExactly
 import io.kotest.matchers.collections.shouldNotContain
+import io.kotest.matchers.comparables.shouldBeLessThan
 import io.kotest.matchers.shouldBe
+import io.netty.util.internal.PlatformDependent
 import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.delay
 import kotlinx.coroutines.runBlocking
 import kotlinx.coroutines.withContext
 import kotlinx.coroutines.withTimeout
 import org.junit.jupiter.api.AfterEach
 import org.junit.jupiter.api.Test
 import java.io.IOException
+import java.lang.management.BufferPoolMXBean
+import java.lang.management.ManagementFactory
 import java.net.Socket
+import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
 /** What callers inside the limits get from an entry VM that watches their connections, and where the limits are. */
@@ -93,9 +99,30 @@
             target.executed.first().id shouldBe "a"
         }
 
+    /** Each held the whole buffer that it was read with, which the limits count nowhere. */
+    @Test
+    fun `requests of a few bytes that stop hold little memory outside the heap`() =
+        withEntryVm {
+            val before = bytesOutsideHeap()
+            val sockets = List(STALLED_CONNECTIONS) { Socket(LoopbackEntryVm.HOST, entryVm.firstPort) }
+            try {
+                sockets.forEach { it.getOutputStream().write("POST /unsafe/x HT".encodeToByteArray()) }
+                delay(500.milliseconds)
+                statusLines(request("a", CLOSE)) shouldContainExactly listOf("HTTP/1.1 200 OK")
+                bytesOutsideHeap() - before shouldBeLessThan STALLED_CONNECTIONS * 4_096L
+            } finally {
+                sockets.forEach { it.close() }
+            }
+        }
+
+    private fun bytesOutsideHeap(): Long =
+        maxOf(PlatformDependent.usedDirectMemory(), 0) +
+            ManagementFactory.getPlatformMXBeans(BufferPoolMXBean::class.java).single { it.name == "direct" }.memoryUsed
+
     private companion object {
         val TEST_TIMEOUT = 20.seconds
         val STATUS_LINE = Regex("HTTP/1\\.1 \\d{3} [A-Za-z ]+")
+        const val STALLED_CONNECTIONS = 2_000
         const val CLOSE = "Connection: close\r\n"
     }
 }
