Test legal bodies of several kinds on one connection

No test had a caller wait for 100, trailers, or HEAD beside bodies on the connections that are watched now.

--- a/goldcrestquay-platform-standins/src/test/kotlin/dev/goldcrestquay/standins/platform/CallerGateTest.kt
+++ b/goldcrestquay-platform-standins/src/test/kotlin/dev/goldcrestquay/standins/platform/CallerGateTest.kt
@@ -99,6 +99,19 @@
             target.executed.first().id shouldBe "a"
         }
 
+    @Test
+    fun `a body that waits for 100, trailers, and a request in the same packet as a body's end are served on one connection`() =
+        withEntryVm {
+            val waiting = request("a", "Expect: 100-continue\r\nContent-Length: 3\r\n", "one")
+            val trailers = request("b", "Transfer-Encoding: chunked\r\nTrailer: X\r\n", "3\r\ntwo\r\n0\r\nX: ${"y".repeat(5_000)}\r\n\r\n")
+            val head = "HEAD /safe/x HTTP/1.1\r\nHost: shop.example\r\nGoldcrestquay-Request-Id: c\r\n\r\n"
+            val large = "z".repeat(70_001)
+            val lines = statusLines(waiting + trailers + request("d", "Content-Length: 70001\r\n", large) + head + request("e", CLOSE))
+            lines shouldContainExactly listOf("HTTP/1.1 100 Continue") + List(5) { "HTTP/1.1 200 OK" }
+            target.executed.map { it.id to it.body.length } shouldContainExactly
+                listOf("a" to 3, "b" to 3, "d" to 70_001, "c" to 0, "e" to 0)
+        }
+
     /** Each held the whole buffer that it was read with, which the limits count nowhere. */
     @Test
     fun `requests of a few bytes that stop hold little memory outside the heap`() =
