Release a body when its request is answered, before the response is sent

A caller that did not read its response held the memory of its body for the time of the response, 30 s without a deadline, and a complete body never gives way. No attempt is under way then; what is still being written holds its bytes itself.

--- a/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/EdgeServer.kt
+++ b/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/EdgeServer.kt
@@ -204,7 +204,10 @@
                 )
             this.forward = forward
             isForwarding = true
-            when (val outcome = forwarder.forward(forward)) {
+            val outcome = forwarder.forward(forward)
+            // A caller may take its response slowly or not at all, and a complete body never gives way.
+            reading.release()
+            when (outcome) {
                 is ForwardOutcome.Answered -> respond(outcome.reply, outcome.target)
                 is ForwardOutcome.NotRun -> refuse(outcome.code, outcome.retryAfter)
                 is ForwardOutcome.Unknown -> refuse(outcome.code, null)
--- a/goldcrestquay-platform-standins/src/test/kotlin/dev/goldcrestquay/standins/platform/CallerGateTest.kt
+++ b/goldcrestquay-platform-standins/src/test/kotlin/dev/goldcrestquay/standins/platform/CallerGateTest.kt
@@ -112,6 +112,24 @@
                 listOf("a" to 3, "b" to 3, "d" to 70_001, "c" to 0, "e" to 0)
         }
 
+    /** A caller that did not read its response held its body, which never gave way, for the time of the response. */
+    @Test
+    fun `a body is released when its request has been answered, not when the response has been taken`() =
+        withEntryVm {
+            target.responseBody = { "x".repeat(4 * MEBIBYTE) }
+            val before = bytesOutsideHeap()
+            withContext(Dispatchers.IO) {
+                Socket(LoopbackEntryVm.HOST, entryVm.firstPort).use { socket ->
+                    socket.receiveBufferSize = 4_096
+                    val length = 32 * MEBIBYTE
+                    socket.getOutputStream().write(request("a", "Content-Length: $length\r\n").encodeToByteArray() + ByteArray(length))
+                    socket.getInputStream().read() shouldBe 'H'.code
+                    delay(200.milliseconds)
+                    bytesOutsideHeap() - before shouldBeLessThan 24L * MEBIBYTE
+                }
+            }
+        }
+
     /** Each held the whole buffer that it was read with, which the limits count nowhere. */
     @Test
     fun `requests of a few bytes that stop hold little memory outside the heap`() =
@@ -135,6 +153,7 @@
     private companion object {
         val TEST_TIMEOUT = 20.seconds
         val STATUS_LINE = Regex("HTTP/1\\.1 \\d{3} [A-Za-z ]+")
+        const val MEBIBYTE = 1_048_576
         const val STALLED_CONNECTIONS = 2_000
         const val CLOSE = "Connection: close\r\n"
     }
