Let the decision about scarce room stand

Cause: where the settings share scarce room, TenantShares judged the result of ScarceRoom.decide once more. It sent requests of starved organisations that were refused (no time, no room, yields), and refused requests of ample ones that had been admitted, uncounted by the pressure. Change: where ScarceRoom decides, TenantShares is not asked; an organisation's priority ranks its requests there as before. Result: the two new tests of TenantRequestTest failed before (admitted for OVERLOADED, and OVERLOADED for admitted); with the change the 11 tests of TenantRequestTest pass.

--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/routing/RequestForwarder.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/routing/RequestForwarder.kt
@@ -217,8 +217,8 @@
                 val expected = statistics.serviceTime(route.name) * chosen.expectedFactor
                 val view = AdmissionView(expected, chosen.excess, objectiveLeft, remaining, priority)
                 val roomRequest = tables.room?.let { askForRoom(view, chosen) }
-                val decided = if (roomRequest == null) admit(view) else tables.room.admit(roomRequest)
-                val admission = shareRoom(service.name, tenancy, view, decided)
+                val admission =
+                    if (roomRequest == null) shareRoom(service.name, tenancy, view, admit(view)) else tables.room.admit(roomRequest)
                 if (admission is Admission.Refused) return combineOutcomes(last, refuse(chosen, view, admission))
                 val sendOutcome = attempt(attempt, chosen, expected, roomRequest)
                 last = combineOutcomes(last, sendOutcome.outcome)
--- a/goldcrestquay/src/test/kotlin/dev/goldcrestquay/tenant/TenantRequestTest.kt
+++ b/goldcrestquay/src/test/kotlin/dev/goldcrestquay/tenant/TenantRequestTest.kt
@@ -11,6 +11,9 @@
 import dev.goldcrestquay.machine.PlanRecord
 import dev.goldcrestquay.machine.SharedState
 import dev.goldcrestquay.move.VersionEvidence
+import dev.goldcrestquay.overload.FleetPressure
+import dev.goldcrestquay.overload.RoomRefusalReason
+import dev.goldcrestquay.overload.ScarceRoom
 import dev.goldcrestquay.plannedRoute
 import dev.goldcrestquay.plannedTenant
 import dev.goldcrestquay.registeredTarget
@@ -79,7 +82,10 @@
         return state.apply(PlanRecord("config", version, plan)).also { state.confirmedAt?.let(state::confirm) }
     }
 
-    private fun TestScope.forwarder(isConfirmed: Boolean = true): RequestForwarder<String, String> {
+    private fun TestScope.forwarder(
+        isConfirmed: Boolean = true,
+        sharesScarceRoom: Boolean = false,
+    ): RequestForwarder<String, String> {
         val clock = { currentTime.milliseconds }
         state = SharedState(clock)
         state.markComplete(Feed.VERDICTS, 0)
@@ -107,6 +113,7 @@
                 RelayPeers(members, random),
                 PlannedStop(clock) { 6.seconds },
                 { tenant, sentAt -> runs += tenant to sentAt },
+                if (sharesScarceRoom) ScarceRoom(clock, Random(1), FleetPressure(clock)) else null,
             ) { }
         return RequestForwarder(tables, sampler, clock, random, events::add)
     }
@@ -141,6 +148,15 @@
             CallerCredentials(origin?.caller) { key?.let { CallerKey.of(it) } },
         ) { 1 }
 
+    private suspend fun TestScope.sendBriefly(
+        forwarder: RequestForwarder<String, String>,
+        key: String,
+    ): ResultCode? =
+        request(key) {
+            delay(100)
+            SendResult.Replied("done")
+        }.codeFrom(forwarder)
+
     private suspend fun ForwardRequest<String, String>.codeFrom(forwarder: RequestForwarder<String, String>): ResultCode? =
         (forwarder.forward(this) as? ForwardOutcome.NotRun)?.code
 
@@ -276,19 +292,36 @@
         runTest {
             val forwarder = forwarder()
             putPlan(1, listOf(plannedTenant("small", "key"), plannedTenant("large", "other")))
-
-            suspend fun send(key: String) =
-                request(key) {
-                    delay(100)
-                    SendResult.Replied("done")
-                }.codeFrom(forwarder)
-            repeat(10) { send("other") shouldBe null }
+            repeat(10) { sendBriefly(forwarder, "other") shouldBe null }
             busy = 12
-            send("key") shouldBe ResultCode.OVERLOADED
-            withClue(events.filterIsInstance<ForwardEvent.Refused>().map { it.view }) { send("key") shouldBe null }
+            sendBriefly(forwarder, "key") shouldBe ResultCode.OVERLOADED
+            withClue(events.filterIsInstance<ForwardEvent.Refused>().map { it.view }) { sendBriefly(forwarder, "key") shouldBe null }
             request("other").codeFrom(forwarder) shouldBe ResultCode.OVERLOADED
         }
 
+    @Test
+    fun `where kinds of requests share scarce room, a refusal stands though the organisation is starved`() =
+        runTest {
+            val forwarder = forwarder(sharesScarceRoom = true)
+            putPlan(1, listOf(plannedTenant("small", "key"), plannedTenant("large", "other")))
+            repeat(10) { sendBriefly(forwarder, "other") shouldBe null }
+            busy = 12
+            repeat(6) { sendBriefly(forwarder, "key") shouldBe ResultCode.OVERLOADED }
+            events.filterIsInstance<ForwardEvent.Refused>().map { it.room?.reason } shouldBe List(6) { RoomRefusalReason.NO_ROOM }
+        }
+
+    @Test
+    fun `where kinds of requests share scarce room, an organisation gives way to none that is starved`() =
+        runTest {
+            val forwarder = forwarder(sharesScarceRoom = true)
+            putPlan(1, listOf(plannedTenant("small", "key"), plannedTenant("large", "other")))
+            repeat(10) { sendBriefly(forwarder, "other") shouldBe null }
+            busy = 200
+            repeat(6) { sendBriefly(forwarder, "key") shouldBe ResultCode.OVERLOADED }
+            busy = 5
+            repeat(6) { sendBriefly(forwarder, "other") shouldBe null }
+        }
+
     @Test
     fun `a cut-off entry VM relays the organisation's name and plan to peers that know them, and nothing once the key is taken away`() =
         runTest {
