Count a run for the organisation that it was sent for

Cause: two attempts of one request share what is known of its caller. When a key was taken away, or went to another organisation, between the first send and the second, the check before the second replaced it, and the first target's run was counted for nobody or for the other one. Change: each attempt keeps the organisation that it was confirmed for. Result: the new test of TenantRequestTest failed before (no run counted) and passes; Tenant*Test, RequestForwarderTest and RoomAdmissionTest of goldcrestquay pass; ktlint:format changes nothing.

--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/routing/RequestForwarder.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/routing/RequestForwarder.kt
@@ -387,16 +387,24 @@
             report(sentEvent(number, chosen, left))
             var result: SendResult<Reply>? = null
             var sentAt: Duration? = null
+            // The other of two attempts under way may find that the key was taken away since.
+            var sentFor = tenancy
             request.isCancellable = route.kind.idempotent
             try {
-                val confirm = suspend { mayStillGetRequests(target).also { sentAt = if (it) clock() else null } }
+                val confirm =
+                    suspend {
+                        mayStillGetRequests(target).also {
+                            sentAt = if (it) clock() else null
+                            sentFor = tenancy
+                        }
+                    }
                 val dispatch = Dispatch(target, chosen.connection, left, { tenancy }, confirm)
                 result = withTimeoutOrNull(left) { request.send(dispatch) }
                     ?: SendResult.Broken(ResultCode.DEADLINE_EXCEEDED)
             } finally {
                 request.isCancellable = true
                 if (result == null) recordUnfinished(chosen.candidate, tickets, started)
-                recordRun(result, sentAt, started)
+                recordRun(sentFor, result, sentAt, started)
             }
             val took = clock() - started
             val crashCount = withContext(NonCancellable) { recordCrash(target, result, crashesBefore) }
@@ -420,11 +428,12 @@
 
         /** Counts a run of the caller's organisation unless the request was not sent, or its target proved that it did not run it. */
         private fun recordRun(
+            sentFor: Tenancy,
             result: SendResult<Reply>?,
             sentAt: Duration?,
             startedAt: Duration,
         ) {
-            val tenant = tenancy.tenantName ?: return
+            val tenant = sentFor.tenantName ?: return
             val runAt = if (result is SendResult.Replied) sentAt ?: startedAt else sentAt
             if (runAt != null && result !is SendResult.Refused) tables.recordRun(tenant, runAt)
         }
--- a/goldcrestquay/src/test/kotlin/dev/goldcrestquay/tenant/TenantRequestTest.kt
+++ b/goldcrestquay/src/test/kotlin/dev/goldcrestquay/tenant/TenantRequestTest.kt
@@ -122,6 +122,7 @@
         key: String?,
         origin: RelayTerms? = null,
         kind: RequestKind = RequestKind.UNSAFE,
+        deadline: Duration = 3.seconds,
         send: suspend (Dispatch<String>) -> SendResult<String> = { SendResult.Replied("done") },
     ): ForwardRequest<String, String> =
         ForwardRequest(
@@ -130,7 +131,7 @@
             "/${kind.name.lowercase()}/x",
             0,
             currentTime.milliseconds,
-            3.seconds,
+            deadline,
             { dispatch ->
                 if (!dispatch.confirm()) {
                     SendResult.Refused(Refusal.WITHDRAWN)
@@ -270,6 +271,29 @@
             withClue("the caller left") { runs.size shouldBe 1 }
         }
 
+    @Test
+    fun `a run is counted for the organisation it was sent for, though the key is taken away before a second send`() =
+        runTest {
+            val forwarder = forwarder()
+            putPlan(1, tenants)
+
+            suspend fun send(took: Duration) =
+                request("key", kind = RequestKind.SAFE, deadline = 600.milliseconds) {
+                    delay(took)
+                    SendResult.Replied("done")
+                }.codeFrom(forwarder)
+            repeat(10) { send(50.milliseconds) shouldBe null }
+            runs.clear()
+            launch {
+                delay(10)
+                putPlan(2, listOf(plannedTenant("small", "new")))
+            }
+            send(300.milliseconds) shouldBe null
+            withClue("the second target") { events.filterIsInstance<ForwardEvent.SentTwice>().size shouldBe 1 }
+            sentFor.size shouldBe 11
+            runs.map { it.first } shouldBe listOf("small")
+        }
+
     @Test
     fun `an organisation's priority goes before the route's, and lines name the organisation`() =
         runTest {
