Run relayed requests for their organisation where the same plan lacks it

Cause: a peer that got the plan from an earlier release holds it without organisations, at the same version. It took it for a later plan without organisations and ran a relayed request for nobody: the target got no name. What was relayed for nobody was refused (2007) at a peer whose plan names no organisations, though nobody needs a key by it. Change: at the same version the first entry VM's word counts; a plan without organisations refuses no relayed request.

--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/tenant/TenantGate.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/tenant/TenantGate.kt
@@ -49,11 +49,16 @@
         isPublic: Boolean,
     ): Tenancy {
         val index = indexOf(routes.plan)
-        val isLater = caller.planVersion > routes.plan.version
-        val name = caller.tenant ?: return if (isLater || isPublic) Tenancy.Anonymous else Tenancy.Outdated
-        if (isLater) return Tenancy.Identified(name, index?.find(name)?.priority)
-        if (index == null) return Tenancy.Anonymous
-        return index.findUnchanged(name, caller.planVersion)?.let { Tenancy.Identified(name, it.priority) } ?: Tenancy.Outdated
+        val version = routes.plan.version
+        val name = caller.tenant
+        // The same version without organisations came from a peer of a release that knows none.
+        val knowsMore = caller.planVersion > version || (index == null && caller.planVersion == version)
+        return when {
+            knowsMore -> name?.let { Tenancy.Identified(it, index?.find(it)?.priority) } ?: Tenancy.Anonymous
+            index == null -> Tenancy.Anonymous
+            name == null -> if (isPublic) Tenancy.Anonymous else Tenancy.Outdated
+            else -> index.findUnchanged(name, caller.planVersion)?.let { Tenancy.Identified(name, it.priority) } ?: Tenancy.Outdated
+        }
     }
 
     /** Why a request of [tenancy] is refused, or null when it may run. */
--- a/goldcrestquay/src/test/kotlin/dev/goldcrestquay/tenant/TenantRequestTest.kt
+++ b/goldcrestquay/src/test/kotlin/dev/goldcrestquay/tenant/TenantRequestTest.kt
@@ -400,4 +400,24 @@
             relay(7, null) shouldBe null
             sentFor.last().shouldBeInstanceOf<Tenancy.Anonymous>()
         }
+
+    @Test
+    fun `a relayed request runs for its organisation at a peer that got the same plan without organisations from an earlier release`() =
+        runTest {
+            val forwarder = forwarder()
+            putPlan(4, emptyList())
+
+            suspend fun relay(
+                version: Long,
+                name: String?,
+            ) = request(null, RelayTerms("vm-7", Duration.ZERO, 1, RelayedCaller(version, name))).codeFrom(forwarder)
+            relay(4, "small") shouldBe null
+            sentFor.single() shouldBe Tenancy.Identified("small", null)
+            relay(4, null) shouldBe null
+            withClue("of a plan before the last organisation went") {
+                relay(3, "small") shouldBe null
+                relay(3, null) shouldBe null
+            }
+            sentFor.drop(1) shouldBe List(3) { Tenancy.Anonymous }
+        }
 }
