Take no caller for unknown while its route can't be read

Cause: a request without a key that was under way on a public route got 401 when a plan came in which the row of that route can't be read: the stand-in for such a row is not public. Change: such a row leaves it to the route by which the request came in whether a key is needed. Result: the new test of TenantRequestTest failed before (UNKNOWN_CALLER) and passes; Tenant*Test, RequestForwarderTest and CutOffEntryVmTest of goldcrestquay pass.

--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/tenant/TenantGate.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/tenant/TenantGate.kt
@@ -28,7 +28,7 @@
         val routes = state.routes ?: return Tenancy.Rejected
         // A route that can't be read refuses its requests as not run; whether it is public is not known.
         if (route.destinations.isEmpty()) return Tenancy.Unused
-        val isPublic = (routes.find(host, path) ?: route).isPublic
+        val isPublic = (routes.find(host, path)?.takeIf { it.destinations.isNotEmpty() } ?: route).isPublic
         return credentials.relayed?.let { identify(it, routes, isPublic) } ?: identify(credentials.key, routes, isPublic)
     }
 
--- a/goldcrestquay/src/test/kotlin/dev/goldcrestquay/tenant/TenantRequestTest.kt
+++ b/goldcrestquay/src/test/kotlin/dev/goldcrestquay/tenant/TenantRequestTest.kt
@@ -420,4 +420,20 @@
             }
             sentFor.drop(1) shouldBe List(3) { Tenancy.Anonymous }
         }
+
+    @Test
+    fun `a caller without a key is not unknown while the row of its public route can't be read`() =
+        runTest {
+            val forwarder = forwarder()
+            putPlan(1, tenants, isPublic = true)
+            val retried =
+                request(null) {
+                    val unreadable = plannedRoute(RequestKind.UNSAFE, destinations = emptyList(), attempts = 1)
+                    state.apply(PlanRecord("config", 2, routePlan(2, listOf(unreadable), tenants)))
+                    SendResult.Refused(Refusal.SHEDDING)
+                }
+            retried.codeFrom(forwarder) shouldBe ResultCode.TARGET_REFUSED
+            sentFor shouldBe List(3) { Tenancy.Anonymous }
+            withClue("a request that comes later") { request(null).codeFrom(forwarder) shouldBe ResultCode.NO_TARGET }
+        }
 }
