--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/routing/RequestForwarder.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/routing/RequestForwarder.kt
@@ -217,8 +217,8 @@
                 val expected = statistics.serviceTime(route.name) * chosen.expectedFactor
                 val view = AdmissionView(expected, chosen.excess, objectiveLeft, remaining, priority)
                 val roomRequest = tables.room?.let { askForRoom(view, chosen) }
-                val decided = if (roomRequest == null) admit(view) else tables.room.admit(roomRequest)
-                val admission = shareRoom(service.name, tenancy, view, decided)
+                val admission =
+                    if (roomRequest == null) shareRoom(service.name, tenancy, view, admit(view)) else tables.room.admit(roomRequest)
                 if (admission is Admission.Refused) return combineOutcomes(last, refuse(chosen, view, admission))
                 val sendOutcome = attempt(attempt, chosen, expected, roomRequest)
                 last = combineOutcomes(last, sendOutcome.outcome)
@@ -387,16 +387,24 @@
             report(sentEvent(number, chosen, left))
             var result: SendResult<Reply>? = null
             var sentAt: Duration? = null
+            // The other of two attempts under way may find that the key was taken away since.
+            var sentFor = tenancy
             request.isCancellable = route.kind.idempotent
             try {
-                val confirm = suspend { mayStillGetRequests(target).also { sentAt = if (it) clock() else null } }
+                val confirm =
+                    suspend {
+                        mayStillGetRequests(target).also {
+                            sentAt = if (it) clock() else null
+                            sentFor = tenancy
+                        }
+                    }
                 val dispatch = Dispatch(target, chosen.connection, left, { tenancy }, confirm)
                 result = withTimeoutOrNull(left) { request.send(dispatch) }
                     ?: SendResult.Broken(ResultCode.DEADLINE_EXCEEDED)
             } finally {
                 request.isCancellable = true
                 if (result == null) recordUnfinished(chosen.candidate, tickets, started)
-                recordRun(result, sentAt, started)
+                recordRun(sentFor, result, sentAt, started)
             }
             val took = clock() - started
             val crashCount = withContext(NonCancellable) { recordCrash(target, result, crashesBefore) }
@@ -420,11 +428,12 @@
 
         /** Counts a run of the caller's organisation unless the request was not sent, or its target proved that it did not run it. */
         private fun recordRun(
+            sentFor: Tenancy,
             result: SendResult<Reply>?,
             sentAt: Duration?,
             startedAt: Duration,
         ) {
-            val tenant = tenancy.tenantName ?: return
+            val tenant = sentFor.tenantName ?: return
             val runAt = if (result is SendResult.Replied) sentAt ?: startedAt else sentAt
             if (runAt != null && result !is SendResult.Refused) tables.recordRun(tenant, runAt)
         }
--- a/goldcrestquay/src/test/kotlin/dev/goldcrestquay/tenant/TenantRequestTest.kt
+++ b/goldcrestquay/src/test/kotlin/dev/goldcrestquay/tenant/TenantRequestTest.kt
@@ -11,6 +11,9 @@
 import dev.goldcrestquay.machine.PlanRecord
 import dev.goldcrestquay.machine.SharedState
 import dev.goldcrestquay.move.VersionEvidence
+import dev.goldcrestquay.overload.FleetPressure
+import dev.goldcrestquay.overload.RoomRefusalReason
+import dev.goldcrestquay.overload.ScarceRoom
 import dev.goldcrestquay.plannedRoute
 import dev.goldcrestquay.plannedTenant
 import dev.goldcrestquay.registeredTarget
@@ -79,7 +82,10 @@
         return state.apply(PlanRecord("config", version, plan)).also { state.confirmedAt?.let(state::confirm) }
     }
 
-    private fun TestScope.forwarder(isConfirmed: Boolean = true): RequestForwarder<String, String> {
+    private fun TestScope.forwarder(
+        isConfirmed: Boolean = true,
+        sharesScarceRoom: Boolean = false,
+    ): RequestForwarder<String, String> {
         val clock = { currentTime.milliseconds }
         state = SharedState(clock)
         state.markComplete(Feed.VERDICTS, 0)
@@ -107,6 +113,7 @@
                 RelayPeers(members, random),
                 PlannedStop(clock) { 6.seconds },
                 { tenant, sentAt -> runs += tenant to sentAt },
+                if (sharesScarceRoom) ScarceRoom(clock, Random(1), FleetPressure(clock)) else null,
             ) { }
         return RequestForwarder(tables, sampler, clock, random, events::add)
     }
@@ -115,6 +122,7 @@
         key: String?,
         origin: RelayTerms? = null,
         kind: RequestKind = RequestKind.UNSAFE,
+        deadline: Duration = 3.seconds,
         send: suspend (Dispatch<String>) -> SendResult<String> = { SendResult.Replied("done") },
     ): ForwardRequest<String, String> =
         ForwardRequest(
@@ -123,7 +131,7 @@
             "/${kind.name.lowercase()}/x",
             0,
             currentTime.milliseconds,
-            3.seconds,
+            deadline,
             { dispatch ->
                 if (!dispatch.confirm()) {
                     SendResult.Refused(Refusal.WITHDRAWN)
@@ -141,6 +149,15 @@
             CallerCredentials(origin?.caller) { key?.let { CallerKey.of(it) } },
         ) { 1 }
 
+    private suspend fun TestScope.sendBriefly(
+        forwarder: RequestForwarder<String, String>,
+        key: String,
+    ): ResultCode? =
+        request(key) {
+            delay(100)
+            SendResult.Replied("done")
+        }.codeFrom(forwarder)
+
     private suspend fun ForwardRequest<String, String>.codeFrom(forwarder: RequestForwarder<String, String>): ResultCode? =
         (forwarder.forward(this) as? ForwardOutcome.NotRun)?.code
 
@@ -254,6 +271,29 @@
             withClue("the caller left") { runs.size shouldBe 1 }
         }
 
+    @Test
+    fun `a run is counted for the organisation it was sent for, though the key is taken away before a second send`() =
+        runTest {
+            val forwarder = forwarder()
+            putPlan(1, tenants)
+
+            suspend fun send(took: Duration) =
+                request("key", kind = RequestKind.SAFE, deadline = 600.milliseconds) {
+                    delay(took)
+                    SendResult.Replied("done")
+                }.codeFrom(forwarder)
+            repeat(10) { send(50.milliseconds) shouldBe null }
+            runs.clear()
+            launch {
+                delay(10)
+                putPlan(2, listOf(plannedTenant("small", "new")))
+            }
+            send(300.milliseconds) shouldBe null
+            withClue("the second target") { events.filterIsInstance<ForwardEvent.SentTwice>().size shouldBe 1 }
+            sentFor.size shouldBe 11
+            runs.map { it.first } shouldBe listOf("small")
+        }
+
     @Test
     fun `an organisation's priority goes before the route's, and lines name the organisation`() =
         runTest {
@@ -276,19 +316,36 @@
         runTest {
             val forwarder = forwarder()
             putPlan(1, listOf(plannedTenant("small", "key"), plannedTenant("large", "other")))
-
-            suspend fun send(key: String) =
-                request(key) {
-                    delay(100)
-                    SendResult.Replied("done")
-                }.codeFrom(forwarder)
-            repeat(10) { send("other") shouldBe null }
+            repeat(10) { sendBriefly(forwarder, "other") shouldBe null }
             busy = 12
-            send("key") shouldBe ResultCode.OVERLOADED
-            withClue(events.filterIsInstance<ForwardEvent.Refused>().map { it.view }) { send("key") shouldBe null }
+            sendBriefly(forwarder, "key") shouldBe ResultCode.OVERLOADED
+            withClue(events.filterIsInstance<ForwardEvent.Refused>().map { it.view }) { sendBriefly(forwarder, "key") shouldBe null }
             request("other").codeFrom(forwarder) shouldBe ResultCode.OVERLOADED
         }
 
+    @Test
+    fun `where kinds of requests share scarce room, a refusal stands though the organisation is starved`() =
+        runTest {
+            val forwarder = forwarder(sharesScarceRoom = true)
+            putPlan(1, listOf(plannedTenant("small", "key"), plannedTenant("large", "other")))
+            repeat(10) { sendBriefly(forwarder, "other") shouldBe null }
+            busy = 12
+            repeat(6) { sendBriefly(forwarder, "key") shouldBe ResultCode.OVERLOADED }
+            events.filterIsInstance<ForwardEvent.Refused>().map { it.room?.reason } shouldBe List(6) { RoomRefusalReason.NO_ROOM }
+        }
+
+    @Test
+    fun `where kinds of requests share scarce room, an organisation gives way to none that is starved`() =
+        runTest {
+            val forwarder = forwarder(sharesScarceRoom = true)
+            putPlan(1, listOf(plannedTenant("small", "key"), plannedTenant("large", "other")))
+            repeat(10) { sendBriefly(forwarder, "other") shouldBe null }
+            busy = 200
+            repeat(6) { sendBriefly(forwarder, "key") shouldBe ResultCode.OVERLOADED }
+            busy = 5
+            repeat(6) { sendBriefly(forwarder, "other") shouldBe null }
+        }
+
     @Test
     fun `a cut-off entry VM relays the organisation's name and plan to peers that know them, and nothing once the key is taken away`() =
         runTest {
@@ -343,4 +400,40 @@
             relay(7, null) shouldBe null
             sentFor.last().shouldBeInstanceOf<Tenancy.Anonymous>()
         }
+
+    @Test
+    fun `a relayed request runs for its organisation at a peer that got the same plan without organisations from an earlier release`() =
+        runTest {
+            val forwarder = forwarder()
+            putPlan(4, emptyList())
+
+            suspend fun relay(
+                version: Long,
+                name: String?,
+            ) = request(null, RelayTerms("vm-7", Duration.ZERO, 1, RelayedCaller(version, name))).codeFrom(forwarder)
+            relay(4, "small") shouldBe null
+            sentFor.single() shouldBe Tenancy.Identified("small", null)
+            relay(4, null) shouldBe null
+            withClue("of a plan before the last organisation went") {
+                relay(3, "small") shouldBe null
+                relay(3, null) shouldBe null
+            }
+            sentFor.drop(1) shouldBe List(3) { Tenancy.Anonymous }
+        }
+
+    @Test
+    fun `a caller without a key is not unknown while the row of its public route can't be read`() =
+        runTest {
+            val forwarder = forwarder()
+            putPlan(1, tenants, isPublic = true)
+            val retried =
+                request(null) {
+                    val unreadable = plannedRoute(RequestKind.UNSAFE, destinations = emptyList(), attempts = 1)
+                    state.apply(PlanRecord("config", 2, routePlan(2, listOf(unreadable), tenants)))
+                    SendResult.Refused(Refusal.SHEDDING)
+                }
+            retried.codeFrom(forwarder) shouldBe ResultCode.TARGET_REFUSED
+            sentFor shouldBe List(3) { Tenancy.Anonymous }
+            withClue("a request that comes later") { request(null).codeFrom(forwarder) shouldBe ResultCode.NO_TARGET }
+        }
 }
