Let old windows of usage go also at a leader without an arbiter

A leader that is its own arbiter, and a VM alone, put none together, so that all counts of the fleet stayed in memory. Old windows are removed with each run counted and each report taken in. Result: the new test of UsageCountsTest failed first (100 windows held in place of 8) and passes; UsageDutyTest and UsageExchangeTest pass.

--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/usage/UsageCounts.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/usage/UsageCounts.kt
@@ -44,6 +44,7 @@
         organisation: String,
         sentAt: Duration,
     ) {
+        expire()
         val window = settings.windowAt(time.at(sentAt))
         if (!isRetained(window)) return
         val cells = cells(window, process)
@@ -52,6 +53,7 @@
 
     /** Adopts the higher numbers of [reports]; windows that are too old, or begin too far in the future, are left out. */
     fun merge(reports: List<ProcessUsage>) {
+        expire()
         for (report in reports) {
             if (report.process == process || !isRetained(report.window)) continue
             val cells = cells(report.window, report.process)
--- a/goldcrestquay/src/test/kotlin/dev/goldcrestquay/usage/UsageCountsTest.kt
+++ b/goldcrestquay/src/test/kotlin/dev/goldcrestquay/usage/UsageCountsTest.kt
@@ -52,6 +52,17 @@
         counts.changesAfter(0) { true }.map { it.window } shouldContainExactly listOf(window + 12)
     }
 
+    @Test
+    fun `old windows are let go also where nobody is told of them, as at a leader without an arbiter`() {
+        val counts = counts()
+        repeat(100) {
+            counts.record("x", now)
+            counts.merge(listOf(ProcessUsage("b/1", window + it, mapOf("x" to 1L))))
+            now += 5.seconds
+        }
+        (0L..<100).count { counts.processCount(window + it) > 0 } shouldBe UsageSettings.RETAINED_WINDOWS
+    }
+
     @Test
     fun `a peer is told what changed since it answered last, once a second, and everything once it has restarted`() {
         val counts = counts()
