--- a/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/GatewayNode.kt
+++ b/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/GatewayNode.kt
@@ -72,7 +72,7 @@
  * @property machine what the process may use of its machine; a change takes effect at the next start.
  * @property sharesScarceRoom whether requests of a service that has too little room are ordered by urgency, at one level in all entry VMs,
  *   and whether each entry VM prefers a part of the targets and those that reject little.
- * @property usage how usage is reported to the platform; null when it isn't.
+ * @property usage how usage is reported to the platform; null when it isn't. A change of its rate of calls takes effect at the next start.
  * @property maySendTwice whether lookups with a short deadline may go to a second target while the first still works on them.
  */
 data class GatewaySettings(
@@ -98,6 +98,7 @@
             retryLimits = retryLimits,
             probesPerSecond = probesPerSecond,
             machine = machine,
+            usage = usage?.let { other.usage?.copy(callsPerSecond = it.callsPerSecond) } ?: other.usage,
         ) == this
 }
 
