Leave the duty when an append lands in a restored store by chance

An append carries the offset at which its writer knows the topic to end. After a restore from an older copy the topic may come to end there again, for instance if one record was lost and another VM has claimed since. The old holder then took the answer as a sign that its claim was the newest, and both sent. The append's answer now gives the store's epoch; a higher one than the ledger's ends the claim, and the topic is read anew. Whether the platform's store states its epoch in answers to appends is not told by its pages; our stand-in does.

--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/usage/UsageDuty.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/usage/UsageDuty.kt
@@ -126,6 +126,12 @@
         report(UsageEvent.HolderLost(lost.token, reason))
     }
 
+    /** The store was restored: what was read of it, and the claim, may not be there any more. */
+    private fun loseRestored() {
+        ledger.clear()
+        lose("the store was restored")
+    }
+
     /** Reads what is new in the store; returns whether that succeeded. */
     private suspend fun refresh(): Boolean {
         val known = ledger.end ?: loadNewest() ?: return false
@@ -137,8 +143,7 @@
                 is StoreResult.Unavailable -> return false.also { report(UsageEvent.DutyStepFailed("read: ${result.reason}")) }
             }
         if (read.epoch > ledger.epoch) {
-            ledger.clear()
-            lose("the store was restored")
+            loseRestored()
             return false
         }
         apply(read)
@@ -190,6 +195,7 @@
         val askedAt = clock()
         return when (val result = withTimeoutOrNull(STORE_TIMEOUT) { links.store.append(key, value, end) } ?: NO_ANSWER) {
             is StoreResult.Done -> {
+                if (result.value > ledger.epoch) return false.also { loseRestored() }
                 apply(TopicRecords(listOf(TopicRecord(key, value, end)), end + 1, ledger.epoch))
                 confirmedAt = askedAt
                 true
--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/usage/UsageLinks.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/usage/UsageLinks.kt
@@ -26,13 +26,14 @@
  *
  * @property newest reads the newest record of every key; not at one moment, so that the records from its end on must be read as well.
  * @property read reads the records from an offset on, without waiting for any.
- * @property append appends a value under a key if the topic ends at the offset. A call without an answer may be carried out much later,
+ * @property append appends a value under a key if the topic ends at the offset, and returns the store's epoch, since the topic of a
+ *   restored store may end there by chance. A call without an answer may be carried out much later,
  *   if the topic ends there still.
  */
 public class UsageStoreLink(
     public val newest: suspend () -> StoreResult<TopicRecords>,
     public val read: suspend (from: Long) -> StoreResult<TopicRecords>,
-    public val append: suspend (key: String, value: String, endOffset: Long) -> StoreResult<Unit>,
+    public val append: suspend (key: String, value: String, endOffset: Long) -> StoreResult<Long>,
 )
 
 /**
--- a/goldcrestquay/src/test/kotlin/dev/goldcrestquay/usage/SimulatedPlatform.kt
+++ b/goldcrestquay/src/test/kotlin/dev/goldcrestquay/usage/SimulatedPlatform.kt
@@ -63,10 +63,10 @@
         key: String,
         value: String,
         end: Long,
-    ): StoreResult<Unit> {
+    ): StoreResult<Long> {
         if (log.size.toLong() != end) return StoreResult.Conflict
         log += TopicRecord(key, value, end)
-        return StoreResult.Done(Unit)
+        return StoreResult.Done(epoch)
     }
 
     private suspend fun <T> serve(
--- a/goldcrestquay/src/test/kotlin/dev/goldcrestquay/usage/UsageDutyTest.kt
+++ b/goldcrestquay/src/test/kotlin/dev/goldcrestquay/usage/UsageDutyTest.kt
@@ -164,4 +164,18 @@
             fleet.api.faults(fleet.settings.leaseTime.inWholeMilliseconds).shouldBeEmpty()
             fleet.windowsSent().last() shouldBe 9
         }
+
+    @Test
+    fun `a holder whose record fits the end of a restored store by chance leaves the duty to whoever claimed it there`() =
+        runTest {
+            val fleet = fleet(isFenced = false)
+            delay(24_000)
+            fleet.store.restore(size = fleet.store.size - 1)
+            val (key, value) = UsageLedger.encode(UsageClaim((1L shl 32) + fleet.store.size + 1, "vm-9/1"))
+            fleet.store.write(key, value)
+            delay(7_000)
+            fleet.api.arrivals
+                .filter { it.at > 24_000 }
+                .shouldBeEmpty()
+        }
 }
