Go on with the duty when a link ends a call as if it were cancelled

A CancellationException out of a link, as from a connection that is closed elsewhere, ended the duty's loop for the rest of the process, or left a call without a pause before its repeat. By reading, no link throws one today. Only the cancellation of the duty itself ends it now; anything else is a failed step or a failed call. Result: the new test of UsageDutyTest failed first (no window after the first was told) and passes with all tests of usage.

--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/usage/UsageDuty.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/usage/UsageDuty.kt
@@ -2,9 +2,10 @@
 
 import dev.goldcrestquay.link.Clock
 import dev.goldcrestquay.link.StoreResult
-import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.currentCoroutineContext
 import kotlinx.coroutines.delay
+import kotlinx.coroutines.ensureActive
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
 import kotlin.time.Duration
@@ -67,9 +68,9 @@
     private suspend fun runStep(launchCall: (suspend () -> Unit) -> Unit): Step =
         try {
             step(launchCall)
-        } catch (exception: CancellationException) {
-            throw exception
         } catch (error: Throwable) {
+            // A link may end a call as if it were cancelled; only the cancellation of the duty itself ends the duty.
+            currentCoroutineContext().ensureActive()
             report(UsageEvent.DutyStepFailed(error.toString()))
             Step.FAILED
         }
--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/usage/UsageSender.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/usage/UsageSender.kt
@@ -1,7 +1,8 @@
 package dev.goldcrestquay.usage
 
 import dev.goldcrestquay.link.Clock
-import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.currentCoroutineContext
+import kotlinx.coroutines.ensureActive
 import kotlinx.coroutines.withTimeoutOrNull
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -69,9 +70,8 @@
                 UsageAnswer.Throttled -> repeatLater(pending, token, "too many calls")
                 is UsageAnswer.Unknown -> repeatLater(pending, token, answer.reason)
             }
-        } catch (exception: CancellationException) {
-            throw exception
         } catch (error: Throwable) {
+            currentCoroutineContext().ensureActive()
             repeatLater(pending, token, error.toString())
         } finally {
             pending.isUnderWay = false
--- a/goldcrestquay/src/test/kotlin/dev/goldcrestquay/usage/UsageDutyTest.kt
+++ b/goldcrestquay/src/test/kotlin/dev/goldcrestquay/usage/UsageDutyTest.kt
@@ -9,6 +9,7 @@
 import io.kotest.matchers.comparables.shouldBeGreaterThan
 import io.kotest.matchers.comparables.shouldBeLessThanOrEqualTo
 import io.kotest.matchers.shouldBe
+import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.ExperimentalCoroutinesApi
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.test.TestScope
@@ -178,4 +179,15 @@
                 .filter { it.at > 24_000 }
                 .shouldBeEmpty()
         }
+
+    @Test
+    fun `a store link that ends a call as if it were cancelled does not end the duty`() =
+        runTest {
+            val fleet = fleet()
+            fleet.store.trouble = {
+                if (testScheduler.currentTime in 10_000..14_000) throw CancellationException("connection closed") else Trouble.NONE
+            }
+            delay(40_000)
+            fleet.misses(fleet.windowAt(0), fleet.windowAt(40_000) - 3).shouldBeEmpty()
+        }
 }
