Claim the duty anew at once after a moment without the lead

A holder that did not lead for a few seconds, in which another VM claimed, left that one the duty for two leases when it led again, though the other had stopped leading: nobody held it, and windows were told late. The pause now follows only a loss while it led, or a refused token. The order A, B, A keeps its distance without the pause: A sends under its new claim from a lease after that claim on, and under the old one not after it.

--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/usage/UsageDuty.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/usage/UsageDuty.kt
@@ -123,7 +123,9 @@
     private fun lose(reason: String) {
         val lost = held ?: return
         held = null
-        claimsFrom = clock() + settings.leaseTime * CLAIM_PAUSE_LEASES
+        // Another that claimed while this entry VM did not lead has most likely stopped leading since.
+        val heldWhileWanted = confirmedAt >= (wantedSince ?: Duration.INFINITE)
+        if (heldWhileWanted || refusedToken == lost.token) claimsFrom = clock() + settings.leaseTime * CLAIM_PAUSE_LEASES
         report(UsageEvent.HolderLost(lost.token, reason))
     }
 
@@ -291,7 +293,7 @@
         /** The newest window to be written may have ended two windows before the present one, and the oldest retained one may just go. */
         const val TOLD_MARGIN = 3
 
-        /** A holder that has lost the duty to another leaves it to that one for so many leases. */
+        /** A holder that has lost the duty to another while both led leaves it to that one for so many leases. */
         const val CLAIM_PAUSE_LEASES = 2
 
         val NO_ANSWER = StoreResult.Unavailable("no answer")
--- a/goldcrestquay/src/test/kotlin/dev/goldcrestquay/usage/UsageDutyTest.kt
+++ b/goldcrestquay/src/test/kotlin/dev/goldcrestquay/usage/UsageDutyTest.kt
@@ -33,6 +33,13 @@
 
     private fun SimulatedUsageFleet.windowsSent() = api.accepted.map { it.second.window - windowAt(0) }
 
+    /** The first report of each window came before it was due. */
+    private fun SimulatedUsageFleet.shouldBeToldInTime() =
+        api.accepted.distinctBy { it.second.window }.forEach { (at, call) ->
+            val end = settings.startOf(call.window + 1) - SimulatedUsageFleet.START
+            withClue(call) { at - end shouldBeLessThanOrEqualTo settings.dueAfter.inWholeMilliseconds }
+        }
+
     @Test
     fun `a refused token is not used again, and the report that it was refused for comes unchanged under a new one`() =
         runTest {
@@ -85,10 +92,7 @@
             fleet.lead(fleet.vms[1])
             delay(30_000)
             fleet.windowsSent().distinct() shouldContainExactly (0L..8L).toList()
-            fleet.api.accepted.distinctBy { it.second.window }.forEach { (at, call) ->
-                val end = fleet.settings.startOf(call.window + 1) - SimulatedUsageFleet.START
-                withClue(call) { at - end shouldBeLessThanOrEqualTo fleet.settings.dueAfter.inWholeMilliseconds }
-            }
+            fleet.shouldBeToldInTime()
             fleet.api.arrivals
                 .map { it.call.token }
                 .distinct() shouldHaveSize 2
@@ -190,4 +194,17 @@
             delay(40_000)
             fleet.misses(fleet.windowAt(0), fleet.windowAt(40_000) - 3).shouldBeEmpty()
         }
+
+    @Test
+    fun `a holder that did not lead for a moment, in which another claimed, tells all windows in time once it leads again`() =
+        runTest {
+            val fleet = fleet()
+            delay(17_000)
+            fleet.lead(fleet.vms[1])
+            delay(4_000)
+            fleet.lead(fleet.vms[0])
+            delay(30_000)
+            fleet.windowsSent().distinct() shouldContainExactly (0L..8L).toList()
+            fleet.shouldBeToldInTime()
+        }
 }
