Read the store before a former holder decides which windows are due

A holder that led again after others had held the duty for more than 40 s went by what it had read long ago: it logged windows as lost that the others had told, and tried an append that could not succeed. It reads on first whenever it has come to lead since its claim was last shown to be the newest, and when what it read was forgotten.

--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/usage/UsageDuty.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/usage/UsageDuty.kt
@@ -86,6 +86,8 @@
         if (clock() - since < SETTLING_TIME) return Step.IDLE
         val holding = held ?: return claim()
         if (clock() < holding.actsFrom) return Step.IDLE
+        // What was read before another led, or has been forgotten since, doesn't tell which windows are due.
+        if (ledger.end == null || confirmedAt < since) return if (refresh()) Step.DONE else Step.FAILED
         val due = dueWindow(holding)
         if (due != null) return write(due, holding)
         val next = sender.next(ledger.unsent(sender.accepted)) ?: return Step.IDLE
--- a/goldcrestquay/src/test/kotlin/dev/goldcrestquay/usage/SimulatedPlatform.kt
+++ b/goldcrestquay/src/test/kotlin/dev/goldcrestquay/usage/SimulatedPlatform.kt
@@ -28,6 +28,13 @@
         epoch++
     }
 
+    private var firstRetained = 0
+
+    /** Forgets all records but the newest one of each key, which no read from an earlier offset gives. */
+    fun forgetHistory() {
+        firstRetained = log.size
+    }
+
     val size: Int get() = log.size
 
     /** Appends a record as another writer might. */
@@ -47,9 +54,7 @@
             },
             read = { from ->
                 serve(path) {
-                    if (from >
-                        log.size
-                    ) {
+                    if (from > log.size || from < firstRetained) {
                         StoreResult.Forgotten
                     } else {
                         StoreResult.Done(TopicRecords(log.drop(from.toInt()), log.size.toLong(), epoch))
--- a/goldcrestquay/src/test/kotlin/dev/goldcrestquay/usage/UsageDutyTest.kt
+++ b/goldcrestquay/src/test/kotlin/dev/goldcrestquay/usage/UsageDutyTest.kt
@@ -207,4 +207,22 @@
             fleet.windowsSent().distinct() shouldContainExactly (0L..8L).toList()
             fleet.shouldBeToldInTime()
         }
+
+    @Test
+    fun `a former holder that leads again after the store forgot its history logs no windows as lost that were told`() =
+        runTest {
+            val fleet = fleet()
+            delay(7_000)
+            fleet.lead(fleet.vms[1])
+            delay(20_000)
+            fleet.lead(fleet.vms[0])
+            delay(70_000)
+            fleet.lead(fleet.vms[1])
+            delay(60_000)
+            fleet.store.forgetHistory()
+            fleet.lead(fleet.vms[0])
+            delay(30_000)
+            fleet.events.filterIsInstance<UsageEvent.WindowsLost>().shouldBeEmpty()
+            fleet.windowsSent().distinct() shouldContainExactly (0L..35L).toList()
+        }
 }
