--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/usage/UsageDuty.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/usage/UsageDuty.kt
@@ -2,9 +2,10 @@
 
 import dev.goldcrestquay.link.Clock
 import dev.goldcrestquay.link.StoreResult
-import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.currentCoroutineContext
 import kotlinx.coroutines.delay
+import kotlinx.coroutines.ensureActive
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
 import kotlin.time.Duration
@@ -67,9 +68,9 @@
     private suspend fun runStep(launchCall: (suspend () -> Unit) -> Unit): Step =
         try {
             step(launchCall)
-        } catch (exception: CancellationException) {
-            throw exception
         } catch (error: Throwable) {
+            // A link may end a call as if it were cancelled; only the cancellation of the duty itself ends the duty.
+            currentCoroutineContext().ensureActive()
             report(UsageEvent.DutyStepFailed(error.toString()))
             Step.FAILED
         }
@@ -85,6 +86,8 @@
         if (clock() - since < SETTLING_TIME) return Step.IDLE
         val holding = held ?: return claim()
         if (clock() < holding.actsFrom) return Step.IDLE
+        // What was read before another led, or has been forgotten since, doesn't tell which windows are due.
+        if (ledger.end == null || confirmedAt < since) return if (refresh()) Step.DONE else Step.FAILED
         val due = dueWindow(holding)
         if (due != null) return write(due, holding)
         val next = sender.next(ledger.unsent(sender.accepted)) ?: return Step.IDLE
@@ -122,10 +125,18 @@
     private fun lose(reason: String) {
         val lost = held ?: return
         held = null
-        claimsFrom = clock() + settings.leaseTime * CLAIM_PAUSE_LEASES
+        // Another that claimed while this entry VM did not lead has most likely stopped leading since.
+        val heldWhileWanted = confirmedAt >= (wantedSince ?: Duration.INFINITE)
+        if (heldWhileWanted || refusedToken == lost.token) claimsFrom = clock() + settings.leaseTime * CLAIM_PAUSE_LEASES
         report(UsageEvent.HolderLost(lost.token, reason))
     }
 
+    /** The store was restored: what was read of it, and the claim, may not be there any more. */
+    private fun loseRestored() {
+        ledger.clear()
+        lose("the store was restored")
+    }
+
     /** Reads what is new in the store; returns whether that succeeded. */
     private suspend fun refresh(): Boolean {
         val known = ledger.end ?: loadNewest() ?: return false
@@ -137,8 +148,7 @@
                 is StoreResult.Unavailable -> return false.also { report(UsageEvent.DutyStepFailed("read: ${result.reason}")) }
             }
         if (read.epoch > ledger.epoch) {
-            ledger.clear()
-            lose("the store was restored")
+            loseRestored()
             return false
         }
         apply(read)
@@ -190,6 +200,7 @@
         val askedAt = clock()
         return when (val result = withTimeoutOrNull(STORE_TIMEOUT) { links.store.append(key, value, end) } ?: NO_ANSWER) {
             is StoreResult.Done -> {
+                if (result.value > ledger.epoch) return false.also { loseRestored() }
                 apply(TopicRecords(listOf(TopicRecord(key, value, end)), end + 1, ledger.epoch))
                 confirmedAt = askedAt
                 true
@@ -284,7 +295,7 @@
         /** The newest window to be written may have ended two windows before the present one, and the oldest retained one may just go. */
         const val TOLD_MARGIN = 3
 
-        /** A holder that has lost the duty to another leaves it to that one for so many leases. */
+        /** A holder that has lost the duty to another while both led leaves it to that one for so many leases. */
         const val CLAIM_PAUSE_LEASES = 2
 
         val NO_ANSWER = StoreResult.Unavailable("no answer")
--- a/goldcrestquay/src/test/kotlin/dev/goldcrestquay/usage/UsageDutyTest.kt
+++ b/goldcrestquay/src/test/kotlin/dev/goldcrestquay/usage/UsageDutyTest.kt
@@ -9,6 +9,7 @@
 import io.kotest.matchers.comparables.shouldBeGreaterThan
 import io.kotest.matchers.comparables.shouldBeLessThanOrEqualTo
 import io.kotest.matchers.shouldBe
+import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.ExperimentalCoroutinesApi
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.test.TestScope
@@ -32,6 +33,13 @@
 
     private fun SimulatedUsageFleet.windowsSent() = api.accepted.map { it.second.window - windowAt(0) }
 
+    /** The first report of each window came before it was due. */
+    private fun SimulatedUsageFleet.shouldBeToldInTime() =
+        api.accepted.distinctBy { it.second.window }.forEach { (at, call) ->
+            val end = settings.startOf(call.window + 1) - SimulatedUsageFleet.START
+            withClue(call) { at - end shouldBeLessThanOrEqualTo settings.dueAfter.inWholeMilliseconds }
+        }
+
     @Test
     fun `a refused token is not used again, and the report that it was refused for comes unchanged under a new one`() =
         runTest {
@@ -84,10 +92,7 @@
             fleet.lead(fleet.vms[1])
             delay(30_000)
             fleet.windowsSent().distinct() shouldContainExactly (0L..8L).toList()
-            fleet.api.accepted.distinctBy { it.second.window }.forEach { (at, call) ->
-                val end = fleet.settings.startOf(call.window + 1) - SimulatedUsageFleet.START
-                withClue(call) { at - end shouldBeLessThanOrEqualTo fleet.settings.dueAfter.inWholeMilliseconds }
-            }
+            fleet.shouldBeToldInTime()
             fleet.api.arrivals
                 .map { it.call.token }
                 .distinct() shouldHaveSize 2
@@ -164,4 +169,60 @@
             fleet.api.faults(fleet.settings.leaseTime.inWholeMilliseconds).shouldBeEmpty()
             fleet.windowsSent().last() shouldBe 9
         }
+
+    @Test
+    fun `a holder whose record fits the end of a restored store by chance leaves the duty to whoever claimed it there`() =
+        runTest {
+            val fleet = fleet(isFenced = false)
+            delay(24_000)
+            fleet.store.restore(size = fleet.store.size - 1)
+            val (key, value) = UsageLedger.encode(UsageClaim((1L shl 32) + fleet.store.size + 1, "vm-9/1"))
+            fleet.store.write(key, value)
+            delay(7_000)
+            fleet.api.arrivals
+                .filter { it.at > 24_000 }
+                .shouldBeEmpty()
+        }
+
+    @Test
+    fun `a store link that ends a call as if it were cancelled does not end the duty`() =
+        runTest {
+            val fleet = fleet()
+            fleet.store.trouble = {
+                if (testScheduler.currentTime in 10_000..14_000) throw CancellationException("connection closed") else Trouble.NONE
+            }
+            delay(40_000)
+            fleet.misses(fleet.windowAt(0), fleet.windowAt(40_000) - 3).shouldBeEmpty()
+        }
+
+    @Test
+    fun `a holder that did not lead for a moment, in which another claimed, tells all windows in time once it leads again`() =
+        runTest {
+            val fleet = fleet()
+            delay(17_000)
+            fleet.lead(fleet.vms[1])
+            delay(4_000)
+            fleet.lead(fleet.vms[0])
+            delay(30_000)
+            fleet.windowsSent().distinct() shouldContainExactly (0L..8L).toList()
+            fleet.shouldBeToldInTime()
+        }
+
+    @Test
+    fun `a former holder that leads again after the store forgot its history logs no windows as lost that were told`() =
+        runTest {
+            val fleet = fleet()
+            delay(7_000)
+            fleet.lead(fleet.vms[1])
+            delay(20_000)
+            fleet.lead(fleet.vms[0])
+            delay(70_000)
+            fleet.lead(fleet.vms[1])
+            delay(60_000)
+            fleet.store.forgetHistory()
+            fleet.lead(fleet.vms[0])
+            delay(30_000)
+            fleet.events.filterIsInstance<UsageEvent.WindowsLost>().shouldBeEmpty()
+            fleet.windowsSent().distinct() shouldContainExactly (0L..35L).toList()
+        }
 }
