Read the member list for subsets only when it changed

Cause: each choice of a target filtered and copied the fleet's member list and compared it name by name, a cost that grows with the fleet. Change: the entry VM keeps the list until the version of its members changes, and TargetSubset compares the reference.

--- a/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/GatewayNode.kt
+++ b/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/GatewayNode.kt
@@ -182,6 +182,8 @@
     private val reach = TargetReach(clock)
     private val probe = reach.observe(targetExchange::probe)
     private val reachMonitor = TargetReachMonitor(reach, state, members, random, probe, pool::release, notices, reports.fleet)
+    private var neighbours = emptyList<String>()
+    private var neighboursVersion = -1L
     private val subset = TargetSubset(settings.self.name) { if (settings.sharesScarceRoom) settledNeighbours() else emptyList() }
     private val sampler = TargetSampler(clock, random, scope, probeBudget, probe, subset::preferred, pool::release)
     private val refresher = RecordRefresher(state, storeReader, clock, scope, reports.fleet)
@@ -294,8 +296,15 @@
     /** The names of the live members, or none before [isSettled]. */
     private fun settledMembers(): List<String> = if (isSettled) members.alive.map { it.name } else emptyList()
 
-    private fun settledNeighbours(): List<String> =
-        if (isSettled) members.alive.filter { it.dataCentre == settings.self.dataCentre }.map { it.name } else emptyList()
+    /** The names of the live members in this data centre, or none before [isSettled]; the same list until they change. */
+    private fun settledNeighbours(): List<String> {
+        if (!isSettled) return emptyList()
+        if (neighboursVersion == members.version) return neighbours
+        neighboursVersion = members.version
+        val names = members.alive.filter { it.dataCentre == settings.self.dataCentre }.map { it.name }
+        if (names != neighbours) neighbours = names
+        return neighbours
+    }
 
     private fun reportError(
         @Suppress("unused") context: CoroutineContext,
--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/spread/TargetSubset.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/spread/TargetSubset.kt
@@ -10,25 +10,28 @@
  * many entry VMs, the first ones in its rendezvous order; so members and targets that come and go move few preferences.
  *
  * @param self this entry VM's name.
- * @param members the names of the entry VMs in its data centre; empty while they are not known: nothing is preferred then.
+ * @param members the names of the entry VMs in its data centre, as the same list until they change, since it is asked for at each choice; empty
+ * while they are not known: nothing is preferred then.
  */
 public class TargetSubset(
     private val self: String,
     private val members: () -> List<String>,
 ) {
     private var knownMembers = emptyList<String>()
+    private var isMember = false
     private var memberHashes = LongArray(0)
     private val ranks = HashMap<String, Int>()
 
     /** Returns which targets are preferred among [targetCount] of a service, by identifier. */
     public fun preferred(targetCount: Int): (String) -> Boolean {
         val names = members()
-        if (names != knownMembers || ranks.size > MAXIMUM_TARGETS) {
+        if (names !== knownMembers || ranks.size > MAXIMUM_TARGETS) {
             knownMembers = names
+            isMember = self in names
             memberHashes = LongArray(names.size) { stableHash(names[it]) }
             ranks.clear()
         }
-        if (self !in names || targetCount == 0) return { false }
+        if (!isMember || targetCount == 0) return { false }
         val share = (names.size * TARGETS_PER_MEMBER + targetCount - 1) / targetCount
         return { target -> ranks.getOrPut(target) { rank(target) } < share }
     }
--- a/goldcrestquay/src/test/kotlin/dev/goldcrestquay/spread/TargetSubsetTest.kt
+++ b/goldcrestquay/src/test/kotlin/dev/goldcrestquay/spread/TargetSubsetTest.kt
@@ -50,6 +50,22 @@
         joined.count { it.second == "t27" } shouldBeGreaterThan 8
     }
 
+    @Test
+    fun `a choice reads the members only when their list is another one`() {
+        var reads = 0
+        val known =
+            object : AbstractList<String>() {
+                override val size get() = members.size
+
+                override fun get(index: Int) = members[index].also { reads++ }
+            }
+        val subset = TargetSubset("vm-1") { known }
+        targets.filter(subset.preferred(27)) shouldBe targets.filter(TargetSubset("vm-1") { members }.preferred(27))
+        reads = 0
+        repeat(100) { targets.count(subset.preferred(27)) }
+        reads shouldBe 0
+    }
+
     @Test
     fun `nothing is preferred while the members are not known`() {
         targets.any(TargetSubset("vm-1") { emptyList() }.preferred(27)) shouldBe false
