Ask again for crashes and the stop before a second send

Cause: a request that ended its first target while the second one was probed was still sent to that one, with the loss unknown to the crash table's count of the second. Change: whether a second send may be made is asked after the choice as well as before. Result: the new test failed before (2 sends instead of 1) and passes.

--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/routing/RequestForwarder.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/routing/RequestForwarder.kt
@@ -358,12 +358,11 @@
             number: Int,
             terms: SecondSendTerms,
         ): SendOutcome<Reply>? {
-            // A request that may end its targets goes to one at a time.
-            if (tables.crashes.crashes(request.fingerprint) > 0 || !tables.plannedStop.allows(remaining)) return null
+            if (!maySendSecond()) return null
             val candidates = tables.targets.candidates(service.name, tried).ifEmpty { return null }
             val chosen = sampler.choose(candidates, service, transferBytes, acceptableFactor(), tables.state.age() > OLD_RECORDS_AGE)
             val expected = statistics.serviceTime(route.name) * chosen.expectedFactor
-            val isWorthIt = chosen.connection != null && isWorthSecondSend(chosen.excess, expected, remaining)
+            val isWorthIt = chosen.connection != null && isWorthSecondSend(chosen.excess, expected, remaining) && maySendSecond()
             if (!isWorthIt || isSurpassed(chosen.candidate, candidates) || !secondSends.tryTake(terms)) {
                 chosen.connection?.let { sampler.release(it) }
                 return null
@@ -371,6 +370,9 @@
             return attemptOnce(number, chosen, expected, roomRequest = null)
         }
 
+        /** A request that may end its targets goes to one at a time. */
+        private fun maySendSecond() = tables.crashes.crashes(request.fingerprint) == 0 && tables.plannedStop.allows(remaining)
+
         private suspend fun attemptOnce(
             number: Int,
             chosen: ChosenTarget<Connection>,
--- a/goldcrestquay/src/test/kotlin/dev/goldcrestquay/spread/ReplayedService.kt
+++ b/goldcrestquay/src/test/kotlin/dev/goldcrestquay/spread/ReplayedService.kt
@@ -118,6 +118,9 @@
     val budget = FleetRetryBudget({ retryLimits }, ::now) { 1 }
     val crashes = CrashTable(::now)
     val probed = mutableListOf<String>()
+
+    /** Called while a target is probed. */
+    var onProbe: () -> Unit = {}
     val table: TargetTable
     val forwarder: RequestForwarder<String, String>
 
@@ -142,6 +145,7 @@
             TargetSampler<String>(::now, decisionRandom, scope.backgroundScope, probeBudget, { target, _ ->
                 probed += target.id
                 delay(2)
+                onProbe()
                 ProbeResult(targets.getValue(target.id).load, target.id)
             }) { }
         val peers = RelayPeers(FleetMembers(fleetMember(1), ::now), decisionRandom)
--- a/goldcrestquay/src/test/kotlin/dev/goldcrestquay/spread/SecondSendTest.kt
+++ b/goldcrestquay/src/test/kotlin/dev/goldcrestquay/spread/SecondSendTest.kt
@@ -184,6 +184,17 @@
             }
         }
 
+    @Test
+    fun `a request that ends its first target while a second is chosen is not sent to that one beside it`() =
+        runTest {
+            val service = service()
+            var sends = 0
+            service.onProbe = { if (sends == 1) service.crashes.recordCrash(fingerprint = 1, 0) }
+            service.forward { target -> sends++.let { target.serve(10.seconds) } } shouldBe ReplayedService.PASSED_DEADLINE
+            sends shouldBe 1
+            service.events.filterIsInstance<ForwardEvent.SentTwice>().shouldBeEmpty()
+        }
+
     @Test
     fun `second sends stay within their part of the budget, and go to free slots only`() =
         runTest {
