Hold nothing against a second target asked in vain

Cause: when the first target answered after all, the second one's cancelled attempt counted as overtaken: half a failure against a target with a free slot, a factor of 4 for some seconds, and the few milliseconds that it had lasted went into the usual time. Change: an attempt that was cancelled before its answer was expected says nothing.

--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/routing/RequestForwarder.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/routing/RequestForwarder.kt
@@ -397,7 +397,7 @@
                     ?: SendResult.Broken(ResultCode.DEADLINE_EXCEEDED)
             } finally {
                 request.isCancellable = true
-                if (result == null) recordUnfinished(chosen.candidate, tickets, started)
+                if (result == null) recordUnfinished(chosen.candidate, tickets, expected, clock() - started)
                 recordRun(result, sentAt, started)
             }
             val took = clock() - started
@@ -413,11 +413,13 @@
         private fun recordUnfinished(
             candidate: TargetCandidate,
             tickets: AttemptTickets,
-            startedAt: Duration,
+            expected: Duration,
+            lasted: Duration,
         ) {
-            if (!isRaceDecided) return recorder.recordInconclusive(candidate, tickets)
+            // One that was given up before its answer was expected, such as a second one just sent, says nothing.
+            if (!isRaceDecided || lasted <= expected) return recorder.recordInconclusive(candidate, tickets)
             recorder.recordOvertaken(candidate, tickets)
-            secondSends.recordOvertaken(route.name, clock() - startedAt)
+            secondSends.recordOvertaken(route.name, lasted)
         }
 
         /** Counts a run of the caller's organisation unless the request was not sent, or its target proved that it did not run it. */
