Part the forwarding of one request from RequestForwarder

Change: ForwardingRun is a class of its own, ForwardingParts holds what all requests share; no decision changed.

--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/routing/RequestForwarder.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/routing/RequestForwarder.kt
@@ -1,31 +1,16 @@
 package dev.goldcrestquay.routing
 
 import dev.goldcrestquay.contract.PlannedRoute
-import dev.goldcrestquay.contract.PlannedService
 import dev.goldcrestquay.contract.ResultCode
 import dev.goldcrestquay.link.Clock
-import dev.goldcrestquay.link.Refusal
-import dev.goldcrestquay.link.SendResult
-import dev.goldcrestquay.machine.FleetMember
-import dev.goldcrestquay.machine.RegisteredTarget
 import dev.goldcrestquay.machine.SharedState
 import dev.goldcrestquay.move.VersionEvidence
-import dev.goldcrestquay.overload.RoomRequest
 import dev.goldcrestquay.overload.ScarceRoom
-import dev.goldcrestquay.spread.allowsSecondSend
-import dev.goldcrestquay.spread.isWorthSecondSend
 import dev.goldcrestquay.tenant.CallerCredentials
-import dev.goldcrestquay.tenant.ShareRoom
-import dev.goldcrestquay.tenant.Tenancy
-import dev.goldcrestquay.tenant.TenantGate
-import dev.goldcrestquay.tenant.TenantShares
-import kotlinx.coroutines.NonCancellable
-import kotlinx.coroutines.withContext
 import kotlinx.coroutines.withTimeoutOrNull
 import kotlin.random.Random
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
-import kotlin.time.Duration.Companion.seconds
 
 /**
  * The shared state that forwarding decisions are based on.
@@ -65,32 +50,35 @@
  */
 public class RequestForwarder<Connection, Reply>(
     private val tables: ForwarderTables,
-    private val sampler: TargetSampler<Connection>,
+    sampler: TargetSampler<Connection>,
     private val clock: Clock,
-    private val random: Random,
+    random: Random,
     private val report: (ForwardEvent) -> Unit,
 ) {
-    private val statistics = RouteStatistics()
-    private val recorder = AttemptRecorder(tables, statistics, report)
-    private val callerAges = CallerAgeEstimator()
-    private val tenantGate = TenantGate(tables.state)
-    private val shareRoom: ShareRoom = TenantShares(clock)::share
-    private val secondSends = SecondSends(tables.budget, statistics, clock, report)
+    private val parts = ForwardingParts(tables, sampler, clock, random, report)
+    private val tenantGate = parts.tenantGate
 
     /** Forwards [request] and returns its outcome; waits for the first load of the shared state if necessary. */
     public suspend fun forward(request: ForwardRequest<Connection, Reply>): ForwardOutcome<Reply> {
         if (!tables.state.isLoaded) withTimeoutOrNull(INITIAL_STATE_TIMEOUT) { tables.state.awaitLoad() }
         tables.refreshRecords()
-        val routes = tables.state.routes ?: return reportOutcome(request, null, null, notRun(ResultCode.NOT_READY))
-        val route = routes.find(request.host, request.path) ?: return reportOutcome(request, null, null, notRun(ResultCode.NO_ROUTE))
+        val routes = tables.state.routes ?: return reportOutcome(request, null, null, parts.notRun(ResultCode.NOT_READY))
+        val route = routes.find(request.host, request.path) ?: return reportOutcome(request, null, null, parts.notRun(ResultCode.NO_ROUTE))
         val tenancy = tenantGate.identify(request.credentials, request.host, request.path, route)
-        tenantGate.refusal(tenancy)?.let { return reportOutcome(request, route, null, notRun(it)) }
-        val serviceName = tables.splits.choose(route) ?: return reportOutcome(request, route, null, notRun(ResultCode.NO_TARGET))
+        tenantGate.refusal(tenancy)?.let { return reportOutcome(request, route, null, parts.notRun(it)) }
+        val serviceName = tables.splits.choose(route) ?: return reportOutcome(request, route, null, parts.notRun(ResultCode.NO_TARGET))
         request.origin?.let { report(ForwardEvent.RelayReceived(request.id, it.from, it.elapsed, it.attempts)) }
         // The entry VM that the request came from has counted it.
         if (request.origin == null) tables.budget.recordRequest(serviceName)
         val service = routes.service(serviceName)
-        val outcome = if (service == null) notRun(ResultCode.NO_TARGET) else ForwardingRun(request, route, service, tenancy).run()
+        val outcome =
+            if (service ==
+                null
+            ) {
+                parts.notRun(ResultCode.NO_TARGET)
+            } else {
+                ForwardingRun(parts, request, route, service, tenancy).run()
+            }
         return reportOutcome(request, route, serviceName, outcome, tenancy.tenantName)
     }
 
@@ -115,18 +103,13 @@
                 !tables.plannedStop.allows(timeLimit(route, deadline) - age) -> LEAVING
                 route == null || tables.state.age() > OLD_RECORDS_AGE -> return null
                 tenantGate.refusal(tenantGate.identify(credentials, host, path, route)) == ResultCode.UNKNOWN_CALLER ->
-                    notRun(ResultCode.UNKNOWN_CALLER)
+                    parts.notRun(ResultCode.UNKNOWN_CALLER)
                 else -> return null
             }
         report(ForwardEvent.Ended(id, route?.name, null, refusal.code.kind.name, refusal.code, age, late = false))
         return refusal
     }
 
-    private fun timeLimit(
-        route: PlannedRoute?,
-        deadline: Duration?,
-    ): Duration = listOfNotNull(deadline, route?.timeout).minOrNull() ?: DEFAULT_TIMEOUT
-
     private fun reportOutcome(
         request: ForwardRequest<Connection, Reply>,
         route: PlannedRoute?,
@@ -146,411 +129,8 @@
         return outcome
     }
 
-    private fun notRun(
-        code: ResultCode,
-        delay: Duration = MINIMUM_RETRY_DELAY,
-    ): ForwardOutcome.NotRun {
-        val spreadDelay = delay.coerceIn(MINIMUM_RETRY_DELAY, MAXIMUM_RETRY_DELAY) * (1.0 + random.nextDouble() * RETRY_DELAY_SPREAD)
-        return ForwardOutcome.NotRun(code, spreadDelay)
-    }
-
-    private inner class ForwardingRun(
-        private val request: ForwardRequest<Connection, Reply>,
-        private val route: PlannedRoute,
-        private val service: PlannedService,
-        private var tenancy: Tenancy,
-    ) {
-        private val timeLimit = timeLimit(route, request.deadline)
-        private val tried = HashSet<String>()
-
-        private val maximumAttempts = (request.origin?.attempts ?: route.maximumAttempts).coerceAtLeast(1)
-
-        /** The attempts that the retry budget was asked for; the first one is free. */
-        private var paidAttempts = 1
-
-        private var hasAskedForRoom = false
-
-        private val callerAge = callerAges.estimate(route.name, request.deadline)
-
-        private val maySendTwice = tables.maySendTwice && allowsSecondSend(route, request.deadline?.plus(callerAge))
-
-        /** Whether one of two attempts under way has a good answer, so that the other is cancelled. */
-        private var isRaceDecided = false
-
-        private val remaining: Duration get() = timeLimit - (clock() - request.arrivedAt)
-
-        private val objectiveLeft: Duration get() = (route.latencyObjective ?: timeLimit) - callerAge - (clock() - request.arrivedAt)
-
-        /** The bytes that the request and its response are expected to move between this entry VM and the target. */
-        private val transferBytes = request.bodyBytes + statistics.responseBytes(route.name)
-
-        /** The expected factor below which no further target is probed; higher for large bodies, to keep them in their data centre. */
-        private fun acceptableFactor(): Double {
-            if (transferBytes < LARGE_BODY_BYTES) return TargetSampler.ACCEPTABLE_FACTOR
-            return maxOf(TargetSampler.ACCEPTABLE_FACTOR, objectiveLeft / statistics.serviceTime(route.name) * LOCAL_OBJECTIVE_SHARE)
-        }
-
-        suspend fun run(): ForwardOutcome<Reply> {
-            var last: ForwardOutcome<Reply> = notRun(ResultCode.NO_TARGET)
-            var attempt = 1
-            var unreachable = 0
-            while (attempt <= maximumAttempts) {
-                if (!request.isCallerWaiting) return ForwardOutcome.Unknown(ResultCode.CALL_CANCELLED)
-                if (remaining < MINIMUM_TIME_LEFT) return if (attempt == 1) notRun(ResultCode.DEADLINE_PASSED) else last
-                if (!tables.plannedStop.allows(remaining)) return combineOutcomes(last, LEAVING)
-                refuseCaller()?.let { return combineOutcomes(last, it) }
-                blockedFor()?.let { return combineOutcomes(last, ForwardOutcome.NotRun(ResultCode.BLOCKED, it)) }
-                if (tables.reach.isCutOff) {
-                    val relayed = if (request.origin == null) relay(maximumAttempts - attempt + 1) else notRun(ResultCode.NO_TARGET)
-                    if (relayed != null) return combineOutcomes(last, relayed)
-                }
-                val candidates = tables.targets.candidates(service.name, tried)
-                if (candidates.isEmpty()) return combineOutcomes(last, silenceRefusal() ?: last)
-                if (attempt > paidAttempts && !tables.budget.tryTake(service.name)) return last
-                paidAttempts = attempt
-                val chosen = sampler.choose(candidates, service, transferBytes, acceptableFactor(), tables.state.age() > OLD_RECORDS_AGE)
-                if (isSurpassed(chosen.candidate, candidates)) {
-                    chosen.connection?.let { sampler.release(it) }
-                    tried += chosen.candidate.target.id
-                    continue
-                }
-                val expected = statistics.serviceTime(route.name) * chosen.expectedFactor
-                val view = AdmissionView(expected, chosen.excess, objectiveLeft, remaining, priority)
-                val roomRequest = tables.room?.let { askForRoom(view, chosen) }
-                val admission =
-                    if (roomRequest == null) shareRoom(service.name, tenancy, view, admit(view)) else tables.room.admit(roomRequest)
-                if (admission is Admission.Refused) return combineOutcomes(last, refuse(chosen, view, admission))
-                val sendOutcome = attempt(attempt, chosen, expected, roomRequest)
-                last = combineOutcomes(last, sendOutcome.outcome)
-                if (!sendOutcome.mayRetry) return last
-                unreachable += sendOutcome.unreachable
-                attempt += sendOutcome.targetsReached
-            }
-            val neverSent = unreachable == attempt - 1 && request.origin == null && tables.reach.isDoubtful
-            return (if (neverSent) relay(maximumAttempts) else null) ?: last
-        }
-
-        private val priority: Int get() = (tenancy as? Tenancy.Identified)?.priority ?: route.priority
-
-        /** Identifies the caller by the plan that is in force now; returns false when the request may not run. */
-        private fun identifyCaller(): Boolean {
-            tenancy = tenantGate.identify(request.credentials, request.host, request.path, route)
-            return tenantGate.refusal(tenancy) == null
-        }
-
-        private fun refuseCaller(): ForwardOutcome.NotRun? = if (identifyCaller()) null else tenantGate.refusal(tenancy)?.let { notRun(it) }
-
-        /** Whether [chosen] has said meanwhile that it takes no requests, or none while another of the [candidates] does. */
-        private fun isSurpassed(
-            chosen: TargetCandidate,
-            candidates: List<TargetCandidate>,
-        ): Boolean =
-            when (chosen.allowance) {
-                TargetAllowance.OPEN -> false
-                TargetAllowance.LAST_RESORT -> candidates.any { it.allowance == TargetAllowance.OPEN }
-                TargetAllowance.CLOSED -> true
-            }
-
-        /**
-         * The refusal when all targets want no requests for a time, or null when they do not.
-         *
-         * Callers are told to return after the first target takes requests again, spread so that it does not get all of them at once.
-         */
-        private fun silenceRefusal(): ForwardOutcome.NotRun? {
-            val left = tables.targets.silenceLeft(service.name) ?: return null
-            val spread = left.coerceIn(MINIMUM_RETRY_DELAY, MAXIMUM_SILENCE_SPREAD) * random.nextDouble()
-            return ForwardOutcome.NotRun(ResultCode.NO_TARGET, left + spread)
-        }
-
-        /** Has a peer serve the request, with up to [attempts] targets; null when no peer reaches any. */
-        private suspend fun relay(attempts: Int): ForwardOutcome<Reply>? {
-            var last: ForwardOutcome<Reply>? = null
-            val formatVersion = if (tenancy == Tenancy.Unused) 0 else FleetMember.RELAYED_CALLER_FORMAT_VERSION
-            for (peer in tables.relayPeers.candidates(formatVersion).take(MAXIMUM_RELAYS)) {
-                if (!request.isCallerWaiting || remaining < MINIMUM_TIME_LEFT) return last
-                refuseCaller()?.let { return it }
-                val outcome = relayTo(peer, attempts)
-                last = outcome
-                if (outcome !is ForwardOutcome.NotRun || outcome.code !in PEER_UNUSABLE) return outcome
-            }
-            return last
-        }
-
-        private suspend fun relayTo(
-            peer: FleetMember,
-            attempts: Int,
-        ): ForwardOutcome<Reply> {
-            val startedAt = clock()
-            val terms = RelayTerms(tables.relayPeers.self, startedAt - request.arrivedAt, attempts, tenantGate.relayed(tenancy))
-            request.isCancellable = route.kind.idempotent
-            try {
-                val outcome =
-                    withTimeoutOrNull(remaining) { request.relay(peer, terms) } ?: ForwardOutcome.Unknown(ResultCode.DEADLINE_EXCEEDED)
-                val code =
-                    when (outcome) {
-                        is ForwardOutcome.Answered -> null
-                        is ForwardOutcome.NotRun -> outcome.code
-                        is ForwardOutcome.Unknown -> outcome.code
-                    }
-                report(ForwardEvent.Relayed(request.id, peer.name, code?.name ?: "ANSWERED", clock() - startedAt))
-                return outcome
-            } finally {
-                request.isCancellable = true
-            }
-        }
-
-        private fun blockedFor(): Duration? = if (tables.crashes.isEmpty) null else tables.crashes.blockedFor(request.fingerprint)
-
-        private fun refuse(
-            chosen: ChosenTarget<Connection>,
-            view: AdmissionView,
-            refusal: Admission.Refused,
-        ): ForwardOutcome.NotRun {
-            chosen.connection?.let { sampler.release(it) }
-            val target = chosen.candidate.target
-            val delay = refusal.retryAfter
-            report(
-                ForwardEvent.Refused(
-                    request.id,
-                    route.name,
-                    view,
-                    target,
-                    chosen.expectedFactor,
-                    chosen.probes,
-                    delay,
-                    refusal.room,
-                    tenancy.tenantName,
-                ),
-            )
-            return if (refusal.room == null) notRun(ResultCode.OVERLOADED, delay) else ForwardOutcome.NotRun(ResultCode.OVERLOADED, delay)
-        }
-
-        private fun askForRoom(
-            view: AdmissionView,
-            chosen: ChosenTarget<Connection>,
-        ): RoomRequest {
-            val work = statistics.serviceTime(route.name)
-            val callerTimeLeft = request.deadline?.let { it - (clock() - request.arrivedAt) }
-            return roomRequest(route, service.name, view, work, chosen.loadFactor, callerAge, callerTimeLeft, !hasAskedForRoom)
-                .also { hasAskedForRoom = true }
-        }
-
-        /** Sends the request to [chosen], and to a second target as well while it takes longer than usual, where the plan calls for it. */
-        private suspend fun attempt(
-            number: Int,
-            chosen: ChosenTarget<Connection>,
-            expected: Duration,
-            roomRequest: RoomRequest?,
-        ): SendOutcome<Reply> {
-            if (!maySendTwice) return attemptOnce(number, chosen, expected, roomRequest)
-            val terms = SecondSendTerms(request.id, route.name, service.name, clock(), expected, maximumAttempts - number) { remaining }
-            return secondSends.attempt(
-                terms,
-                { attemptOnce(number, chosen, expected, roomRequest) },
-                { attemptSecond(number + 1, terms) },
-            ) {
-                isRaceDecided = true
-            }
-        }
-
-        /** Sends the request to a second target with a free slot, or returns null when there is none. */
-        private suspend fun attemptSecond(
-            number: Int,
-            terms: SecondSendTerms,
-        ): SendOutcome<Reply>? {
-            if (!maySendSecond()) return null
-            val candidates = tables.targets.candidates(service.name, tried).ifEmpty { return null }
-            val chosen = sampler.choose(candidates, service, transferBytes, acceptableFactor(), tables.state.age() > OLD_RECORDS_AGE)
-            val expected = statistics.serviceTime(route.name) * chosen.expectedFactor
-            val isWorthIt = chosen.connection != null && isWorthSecondSend(chosen.excess, expected, remaining) && maySendSecond()
-            if (!isWorthIt || isSurpassed(chosen.candidate, candidates) || !secondSends.tryTake(terms)) {
-                chosen.connection?.let { sampler.release(it) }
-                return null
-            }
-            return attemptOnce(number, chosen, expected, roomRequest = null)
-        }
-
-        /** A request that may end its targets goes to one at a time. */
-        private fun maySendSecond() = tables.crashes.crashes(request.fingerprint) == 0 && tables.plannedStop.allows(remaining)
-
-        private suspend fun attemptOnce(
-            number: Int,
-            chosen: ChosenTarget<Connection>,
-            expected: Duration,
-            roomRequest: RoomRequest?,
-        ): SendOutcome<Reply> {
-            val target = chosen.candidate.target
-            tried += target.id
-            tables.targets.recordSend(chosen.candidate)
-            val crashesBefore = if (tables.crashes.isEmpty) 0 else tables.crashes.crashes(request.fingerprint)
-            val tickets = recorder.recordSend(chosen.candidate, route.name, expected)
-            val started = clock()
-            val left = remaining
-            report(sentEvent(number, chosen, left))
-            var result: SendResult<Reply>? = null
-            var sentAt: Duration? = null
-            // The other of two attempts under way may find that the key was taken away since.
-            var sentFor = tenancy
-            request.isCancellable = route.kind.idempotent
-            try {
-                val confirm =
-                    suspend {
-                        mayStillGetRequests(target).also {
-                            sentAt = if (it) clock() else null
-                            sentFor = tenancy
-                        }
-                    }
-                val dispatch = Dispatch(target, chosen.connection, left, { tenancy }, confirm)
-                result = withTimeoutOrNull(left) { request.send(dispatch) }
-                    ?: SendResult.Broken(ResultCode.DEADLINE_EXCEEDED)
-            } finally {
-                request.isCancellable = true
-                if (result == null) recordUnfinished(chosen.candidate, tickets, started)
-                recordRun(sentFor, result, sentAt, started)
-            }
-            val took = clock() - started
-            val crashCount = withContext(NonCancellable) { recordCrash(target, result, crashesBefore) }
-            report(ForwardEvent.AttemptEnded(request.id, target, resultName(result), took, crashCount))
-            recorder.recordResult(request.id, route.name, chosen, tickets, result, took)
-            roomRequest?.let { tables.room?.recordUse(it, roomUse(result), took) }
-            if (maySendTwice) secondSends.recordResult(route.name, result, took)
-            return outcomeOf(target, result)
-        }
-
-        /** Records an attempt that was cancelled: another target has answered, or the caller has left. */
-        private fun recordUnfinished(
-            candidate: TargetCandidate,
-            tickets: AttemptTickets,
-            startedAt: Duration,
-        ) {
-            if (!isRaceDecided) return recorder.recordInconclusive(candidate, tickets)
-            recorder.recordOvertaken(candidate, tickets)
-            secondSends.recordOvertaken(route.name, clock() - startedAt)
-        }
-
-        /** Counts a run of the caller's organisation unless the request was not sent, or its target proved that it did not run it. */
-        private fun recordRun(
-            sentFor: Tenancy,
-            result: SendResult<Reply>?,
-            sentAt: Duration?,
-            startedAt: Duration,
-        ) {
-            val tenant = sentFor.tenantName ?: return
-            val runAt = if (result is SendResult.Replied) sentAt ?: startedAt else sentAt
-            if (runAt != null && result !is SendResult.Refused) tables.recordRun(tenant, runAt)
-        }
-
-        /**
-         * The target may have left, this entry VM's stop come too near, or the caller's key been taken away, while the target was probed
-         * or a connection opened to it.
-         */
-        private suspend fun mayStillGetRequests(target: RegisteredTarget): Boolean {
-            tables.refreshRecords()
-            return identifyCaller() && tables.targets.mayGetRequests(target) && tables.plannedStop.allows(remaining)
-        }
-
-        /** Records that the target ended under the request, or that it answered; returns the count in the first case. */
-        private suspend fun recordCrash(
-            target: RegisteredTarget,
-            result: SendResult<Reply>,
-            crashesBefore: Int,
-        ): CrashCount? {
-            val crashes = tables.crashes
-            if (result is SendResult.Replied && !crashes.isEmpty) crashes.recordAnswer(request.fingerprint)
-            if (result !is SendResult.Broken || result.code != ResultCode.CONNECTION_LOST) return null
-            // Most targets do not answer, so that the way to them is lost rather than this one ended.
-            if (tables.reach.isDoubtful) return null
-            if (!tables.targets.isSilent(target) && sampler.isAlive(target, service)) return null
-            crashes.recordCrash(request.fingerprint, crashesBefore)
-            return CrashCount(request.fingerprint, crashes.crashes(request.fingerprint))
-        }
-
-        private fun outcomeOf(
-            target: RegisteredTarget,
-            result: SendResult<Reply>,
-        ): SendOutcome<Reply> =
-            when (result) {
-                is SendResult.Replied -> SendOutcome(ForwardOutcome.Answered(result.reply, target), result.failed && route.kind.idempotent)
-                is SendResult.Refused ->
-                    SendOutcome(
-                        notRun(ResultCode.TARGET_REFUSED),
-                        mayRetry = true,
-                        targetsReached = if (result.refusal == Refusal.WITHDRAWN) 0 else 1,
-                        unreachable = if (result.refusal == Refusal.CONNECTION_REFUSED) 1 else 0,
-                    )
-                is SendResult.Broken -> SendOutcome(ForwardOutcome.Unknown(result.code), route.kind.idempotent)
-            }
-
-        private fun sentEvent(
-            number: Int,
-            chosen: ChosenTarget<Connection>,
-            left: Duration,
-        ) = ForwardEvent.Sent(
-            request = request.id,
-            route = route.name,
-            attempt = number,
-            target = chosen.candidate.target,
-            expectedFactor = chosen.expectedFactor,
-            probes = chosen.probes,
-            planVersion =
-                tables.state.routes
-                    ?.plan
-                    ?.version ?: -1,
-            factsAge = tables.state.age(),
-            remaining = left,
-            tenant = tenancy.tenantName,
-        )
-    }
-
-    private fun resultName(result: SendResult<Reply>): String =
-        when (result) {
-            is SendResult.Replied -> if (result.failed) "failed" else "replied"
-            is SendResult.Refused -> result.refusal.name
-            is SendResult.Broken -> result.code.name
-        }
-
     private companion object {
-        /** The shortest time left with which a request is sent: a network round trip. */
-        val MINIMUM_TIME_LEFT = 15.milliseconds
-
-        /** The timeout of requests without a deadline on routes without a timeout. */
-        val DEFAULT_TIMEOUT = 30_000.milliseconds
-
         /** How long a request that arrives while the process starts waits for the first load of the shared state. */
         val INITIAL_STATE_TIMEOUT = 400.milliseconds
-
-        /**
-         * Records older than this may lack that a target leaves; while the leader reads them once a second, they are younger.
-         *
-         * It leaves half a second until the time by which targets that leave must get no more requests.
-         */
-        val OLD_RECORDS_AGE = 1500.milliseconds
-
-        /** The bytes of request and response together from which requests stay in their data centre while their objective allows it. */
-        const val LARGE_BODY_BYTES = 16_384
-
-        /** The share of the remaining objective that a target in the same data centre may take for a request with a large body. */
-        const val LOCAL_OBJECTIVE_SHARE = 0.6
-
-        /** The peers that are asked to serve one request; the first nearly always can. */
-        const val MAXIMUM_RELAYS = 3
-
-        /** The outcome of a request that may not finish before a planned stop ends. */
-        val LEAVING = ForwardOutcome.NotRun(ResultCode.LEAVING, PlannedStop.RETRY_DELAY)
-
-        /** The refusals that say that a peer can serve no request now; the request has not run, and another peer may serve it. */
-        val PEER_UNUSABLE = setOf(ResultCode.NOT_READY, ResultCode.LEAVING, ResultCode.NO_TARGET)
-
-        /** The shortest retry delay given to a refused caller: a fraction of the usual latency objectives. */
-        val MINIMUM_RETRY_DELAY = 60.milliseconds
-
-        /** The longest retry delay before the spread is applied: callers wait at most a third of their deadline. */
-        val MAXIMUM_RETRY_DELAY = 800.milliseconds
-
-        /** The longest time over which callers that are refused until targets take requests again are spread. */
-        val MAXIMUM_SILENCE_SPREAD = 2.seconds
-
-        /** The random extension of a retry delay, as a share of it, so that callers refused together do not retry together. */
-        const val RETRY_DELAY_SPREAD = 1.0
     }
 }
