--- a/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/CallerIdentity.kt
+++ b/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/CallerIdentity.kt
@@ -1,6 +1,6 @@
 package dev.goldcrestquay.http.edge
 
-import dev.goldcrestquay.tenant.CallerKey
+import dev.goldcrestquay.organisation.CallerKey
 import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpHeaders
 
@@ -22,12 +22,12 @@
             ?.takeIf { it.isNotEmpty() }
             ?.let { CallerKey.of(it) }
 
-    /** Removes the key, and what the caller says of its organisation in [tenantHeader], from [headers]. */
+    /** Removes the key, and what the caller says of its organisation in [organisationHeader], from [headers]. */
     fun strip(
         headers: HttpHeaders,
-        tenantHeader: String?,
+        organisationHeader: String?,
     ) {
         headers.remove(HttpHeaderNames.AUTHORIZATION)
-        tenantHeader?.let { headers.remove(it) }
+        organisationHeader?.let { headers.remove(it) }
     }
 }
--- a/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/DecisionLog.kt
+++ b/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/DecisionLog.kt
@@ -114,7 +114,7 @@
                 put("plan", event.planVersion)
                 put("facts_age_ms", event.factsAge.inWholeMilliseconds)
                 put("left_ms", event.remaining.inWholeMilliseconds)
-                event.tenant?.let { put("organisation", it) }
+                event.organisation?.let { put("organisation", it) }
             }
             is ForwardEvent.Refused -> {
                 put("route", event.route)
@@ -134,7 +134,7 @@
                     put("pressure", it.pressure)
                     put("margin", it.margin)
                 }
-                event.tenant?.let { put("organisation", it) }
+                event.organisation?.let { put("organisation", it) }
             }
             is ForwardEvent.RequestLimitChanged -> {
                 put("target", event.target.id)
@@ -175,7 +175,7 @@
                 put("code", event.code?.number)
                 put("took_ms", event.took.inWholeMilliseconds)
                 put("late", event.late)
-                event.tenant?.let { put("organisation", it) }
+                event.organisation?.let { put("organisation", it) }
             }
         }
     }
--- a/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/EdgeServer.kt
+++ b/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/EdgeServer.kt
@@ -9,13 +9,13 @@
 import dev.goldcrestquay.machine.RegisteredTarget
 import dev.goldcrestquay.machine.SharedState
 import dev.goldcrestquay.machine.SocketAddress
+import dev.goldcrestquay.organisation.CallerCredentials
 import dev.goldcrestquay.routing.ForwardOutcome
 import dev.goldcrestquay.routing.ForwardRequest
 import dev.goldcrestquay.routing.PlannedStop
 import dev.goldcrestquay.routing.RelayTerms
 import dev.goldcrestquay.routing.RequestForwarder
 import dev.goldcrestquay.routing.requestFingerprint
-import dev.goldcrestquay.tenant.CallerCredentials
 import io.netty.buffer.ByteBuf
 import io.vertx.core.Vertx
 import io.vertx.core.buffer.Buffer
--- a/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/GatewayMetrics.kt
+++ b/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/GatewayMetrics.kt
@@ -38,11 +38,11 @@
     private val fleetEvents = counter("goldcrestquay_belief_changes_total", "Changes of what the entry VM believes, by kind.", "kind")
     private val turnedAway =
         counter("goldcrestquay_callers_turned_away_total", "Callers closed or refused to save memory, by reason.", "reason")
-    private val tenantRequests =
+    private val organisationRequests =
         counter("goldcrestquay_organisation_requests_total", "Requests by organisation and outcome.", "organisation", "outcome")
 
     /** The organisations that have a metric of their own. */
-    private val namedTenants = HashSet<String>()
+    private val namedOrganisations = HashSet<String>()
     private val usageEvents = counter("goldcrestquay_usage_events_total", "What the holder of the usage duty decided, by kind.", "kind")
     private val usageWindows =
         counter("goldcrestquay_usage_windows_total", "Windows of usage by outcome (sent, late or lost).", "outcome")
@@ -77,14 +77,20 @@
             is ForwardEvent.Ended -> {
                 val route = event.route ?: "none"
                 requests.labelValues(route, event.outcome, (event.code?.number ?: 0).toString()).inc()
-                event.tenant?.let { tenantRequests.labelValues(labelOf(it), event.outcome).inc() }
+                event.organisation?.let { organisationRequests.labelValues(labelOf(it), event.outcome).inc() }
                 latency.labelValues(route).observe(event.took.toDouble(DurationUnit.SECONDS))
             }
         }
     }
 
-    private fun labelOf(tenant: String): String =
-        if (tenant in namedTenants || (namedTenants.size < MAXIMUM_NAMED_TENANTS && namedTenants.add(tenant))) tenant else OTHER_TENANTS
+    private fun labelOf(organisation: String): String =
+        if (organisation in namedOrganisations ||
+            (namedOrganisations.size < MAXIMUM_NAMED_TENANTS && namedOrganisations.add(organisation))
+        ) {
+            organisation
+        } else {
+            OTHER_TENANTS
+        }
 
     /** Counts a change in the replication of the store's records, by the event's class name. */
     fun observe(event: FleetEvent) {
--- a/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/GatewayNode.kt
+++ b/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/GatewayNode.kt
@@ -209,7 +209,7 @@
         )
     private val forwarder = RequestForwarder<OriginConnection, EdgeReply>(forwarderTables, sampler, clock, random, reports.request)
     private val gate = CallerGate(CallerLimits.of(Runtime.getRuntime().maxMemory(), settings.machine), clock, reports.fleet)
-    private val relay = PeerRelay(pool, notices, relayPeers::recordRejection, protocol.tenant)
+    private val relay = PeerRelay(pool, notices, relayPeers::recordRejection, protocol.organisation)
     private val listeners = mutableListOf<HttpListener>()
     private val edgeServer =
         EdgeServer(vertx, state, protocol, targetExchange, relay, pool.memory, gate, forwarder, plannedStop, clock, scope)
--- a/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/PeerRelay.kt
+++ b/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/PeerRelay.kt
@@ -4,12 +4,12 @@
 import dev.goldcrestquay.contract.ResultKind
 import dev.goldcrestquay.http.CallHeaders
 import dev.goldcrestquay.machine.FleetMember
+import dev.goldcrestquay.organisation.RelayedCaller
 import dev.goldcrestquay.routing.ForwardOutcome
 import dev.goldcrestquay.routing.ForwardRequest
 import dev.goldcrestquay.routing.RelayTerms
 import dev.goldcrestquay.routing.TargetNotice
 import dev.goldcrestquay.routing.TargetNotices
-import dev.goldcrestquay.tenant.RelayedCaller
 import io.netty.handler.codec.http.HttpHeaders
 import io.netty.handler.codec.http.HttpResponse
 import io.netty.handler.codec.http.HttpStatusClass
@@ -23,13 +23,13 @@
  * Relays requests to peers over their own addresses, as ordinary HTTP requests with the [RelayTerms] in a header.
  *
  * @param onRejection is called with a peer whose release does not relay.
- * @param tenantHeader the name of the header that names an organisation, which callers may not set.
+ * @param organisationHeader the name of the header that names an organisation, which callers may not set.
  */
 internal class PeerRelay(
     private val pool: OriginPool,
     private val notices: TargetNotices,
     private val onRejection: (FleetMember) -> Unit = {},
-    private val tenantHeader: String? = null,
+    private val organisationHeader: String? = null,
 ) {
     /** Has [peer] serve [request]; what the peer says of its own is told apart from a target's answer by [CallHeaders.RELAY]. */
     suspend fun relay(
@@ -44,7 +44,7 @@
                 return ForwardRequest.UNAVAILABLE_PEER
             }
         val outgoing = request.toHttp()
-        if (terms.caller != null) CallerIdentity.strip(outgoing.headers(), tenantHeader)
+        if (terms.caller != null) CallerIdentity.strip(outgoing.headers(), organisationHeader)
         outgoing.headers().set(CallHeaders.RELAY, format(terms))
         val reply =
             try {
@@ -93,14 +93,14 @@
 
         private const val PARTS = 3
         private const val PARTS_WITH_CALLER = 5
-        private const val NO_TENANT = "-"
+        private const val NO_ORGANISATION = "-"
         private const val NOT_FOUND = 404
 
         /** The value of [CallHeaders.RELAY] in a request; a release that does not know the caller's part rejects it as not run. */
         fun format(terms: RelayTerms): String =
             "${terms.from} ${terms.elapsed.inWholeMilliseconds} ${terms.attempts}" + terms.caller?.let { " ${format(it)}" }.orEmpty()
 
-        private fun format(caller: RelayedCaller): String = "${caller.planVersion} ${caller.tenant?.let(::encode) ?: NO_TENANT}"
+        private fun format(caller: RelayedCaller): String = "${caller.planVersion} ${caller.organisation?.let(::encode) ?: NO_ORGANISATION}"
 
         /** Names may hold spaces. */
         private fun encode(name: String): String = Base64.getUrlEncoder().withoutPadding().encodeToString(name.encodeToByteArray())
@@ -129,10 +129,16 @@
 
         private fun parseCaller(
             planVersion: String,
-            tenant: String,
+            organisation: String,
         ): RelayedCaller? {
             val version = planVersion.toLongOrNull() ?: return null
-            return if (tenant == NO_TENANT) RelayedCaller(version, null) else decode(tenant)?.let { RelayedCaller(version, it) }
+            return if (organisation ==
+                NO_ORGANISATION
+            ) {
+                RelayedCaller(version, null)
+            } else {
+                decode(organisation)?.let { RelayedCaller(version, it) }
+            }
         }
     }
 }
--- a/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/TargetExchange.kt
+++ b/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/TargetExchange.kt
@@ -5,12 +5,12 @@
 import dev.goldcrestquay.link.Refusal
 import dev.goldcrestquay.link.SendResult
 import dev.goldcrestquay.machine.RegisteredTarget
+import dev.goldcrestquay.organisation.CallerOrganisation
 import dev.goldcrestquay.routing.Dispatch
 import dev.goldcrestquay.routing.LoadSample
 import dev.goldcrestquay.routing.ProbeResult
 import dev.goldcrestquay.routing.TargetNotice
 import dev.goldcrestquay.routing.TargetNotices
-import dev.goldcrestquay.tenant.Tenancy
 import io.netty.handler.codec.http.DefaultFullHttpRequest
 import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpMethod
@@ -34,7 +34,7 @@
  * @property notRun states in a target's response that it did not run the request.
  * @property targetId the target's identifier, on health check responses.
  * @property readRequestLimit reads the requests per second that a target takes from all callers together, or returns null when it names none.
- * @property tenant the name of the caller's organisation, in requests to targets.
+ * @property organisation the name of the caller's organisation, in requests to targets.
  * @property readNotice reads what a target says of itself from its response's status and headers; several values stand for a repeated header.
  * @property readLoad reads the load from a target's response headers, or returns null when they carry none.
  */
@@ -48,7 +48,7 @@
     val readRequestLimit: (header: (String) -> String?) -> Double?,
     val readLoad: (header: (String) -> String?) -> LoadSample?,
     val readNotice: (status: Int, headers: (String) -> List<String>) -> TargetNotice = { _, _ -> TargetNotice() },
-    val tenant: String? = null,
+    val organisation: String? = null,
 )
 
 /** Probes targets for their load and sends them requests over pooled connections. */
@@ -196,9 +196,13 @@
         dispatch: Dispatch<OriginConnection>,
     ): DefaultFullHttpRequest {
         val outgoingRequest = request.toHttp()
-        val tenancy = dispatch.tenancy()
-        if (tenancy != Tenancy.Unused) CallerIdentity.strip(outgoingRequest.headers(), protocol.tenant)
-        if (protocol.tenant != null) tenancy.tenantName?.let { outgoingRequest.headers().set(protocol.tenant, it) }
+        val callerOrganisation = dispatch.callerOrganisation()
+        if (callerOrganisation != CallerOrganisation.Unused) CallerIdentity.strip(outgoingRequest.headers(), protocol.organisation)
+        if (protocol.organisation !=
+            null
+        ) {
+            callerOrganisation.organisationName?.let { outgoingRequest.headers().set(protocol.organisation, it) }
+        }
         outgoingRequest.headers().set(protocol.deadline, dispatch.remaining.inWholeMilliseconds.coerceAtLeast(1))
         outgoingRequest.headers().set(protocol.expectedTarget, target.id)
         return outgoingRequest
--- a/goldcrestquay-http/src/test/kotlin/dev/goldcrestquay/http/edge/EarlierRelayTest.kt
+++ b/goldcrestquay-http/src/test/kotlin/dev/goldcrestquay/http/edge/EarlierRelayTest.kt
@@ -3,10 +3,10 @@
 import dev.goldcrestquay.contract.ResultCode
 import dev.goldcrestquay.http.edge.ScriptedServer.Companion.send
 import dev.goldcrestquay.machine.FleetMember
+import dev.goldcrestquay.organisation.RelayedCaller
 import dev.goldcrestquay.routing.ForwardOutcome
 import dev.goldcrestquay.routing.RelayTerms
 import dev.goldcrestquay.routing.TargetNotices
-import dev.goldcrestquay.tenant.RelayedCaller
 import io.kotest.matchers.shouldBe
 import io.kotest.matchers.types.shouldBeInstanceOf
 import kotlinx.coroutines.withTimeoutOrNull
@@ -57,8 +57,8 @@
             socket.send("HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n")
         }) {
             val peer = FleetMember("vm-2", 1, "north", server.address, server.address, true)
-            val relay = PeerRelay(server.pool, TargetNotices({ Duration.ZERO }), tenantHeader = "Tenant")
-            val headers = listOf("authorization" to "Bearer secret", "tenant" to "b", "tenant" to "c", "other" to "d")
+            val relay = PeerRelay(server.pool, TargetNotices({ Duration.ZERO }), organisationHeader = "Organisation")
+            val headers = listOf("authorization" to "Bearer secret", "organisation" to "b", "organisation" to "c", "other" to "d")
             val keyed = EdgeRequest("r", "GET", "/", headers, ByteArray(0))
             val terms = RelayTerms("vm-1", Duration.ZERO, 1, RelayedCaller(7, "a b \u00e9"))
             listOf(terms, terms.copy(caller = RelayedCaller(7, null)), terms.copy(caller = null)).forEach {
@@ -67,7 +67,7 @@
             }
             PeerRelay.format(terms).split(' ').size shouldBe 5
         }
-        received.map { "secret" in it || "\ntenant:" in it } shouldBe listOf(false, false, true)
+        received.map { "secret" in it || "\norganisation:" in it } shouldBe listOf(false, false, true)
         received.all { "\nother: d" in it } shouldBe true
     }
 
--- a/goldcrestquay-http/src/test/kotlin/dev/goldcrestquay/http/edge/TenantMetricsTest.kt
+++ b/goldcrestquay-http/src/test/kotlin/dev/goldcrestquay/http/edge/OrganisationMetricsTest.kt
@@ -6,13 +6,13 @@
 import org.junit.jupiter.api.Test
 import kotlin.time.Duration
 
-class TenantMetricsTest {
+class OrganisationMetricsTest {
     private val metrics = GatewayMetrics()
 
     private fun lines(): List<String> = metrics.text().lines().filter { it.startsWith("goldcrestquay_organisation_requests_total") }
 
-    private fun observe(tenant: String?) =
-        metrics.observe(ForwardEvent.Ended("r", "route", "shop", "ANSWERED", null, Duration.ZERO, false, tenant))
+    private fun observe(organisation: String?) =
+        metrics.observe(ForwardEvent.Ended("r", "route", "shop", "ANSWERED", null, Duration.ZERO, false, organisation))
 
     @Test
     fun `requests are counted by organisation, those beyond a limit together, and none without organisations`() {
--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/contract/PlannedTenant.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/contract/PlannedOrganisation.kt
@@ -9,11 +9,11 @@
  * @property priority goes before the priority of a route; 0 is the highest, null leaves the route's in force.
  */
 @Serializable
-public data class PlannedTenant(
+public data class PlannedOrganisation(
     val name: String,
     val keyDigests: List<String>,
     val priority: Int?,
 ) {
     /** Leaves out the digests. */
-    override fun toString(): String = "PlannedTenant(name=$name, keys=${keyDigests.size}, priority=$priority)"
+    override fun toString(): String = "PlannedOrganisation(name=$name, keys=${keyDigests.size}, priority=$priority)"
 }
--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/contract/RoutePlan.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/contract/RoutePlan.kt
@@ -37,7 +37,7 @@
  * @property destinations the services that share the requests; empty when the operators' record of the route can't be read, so that
  *   its requests are refused as not run.
  * @property maximumAttempts the number of targets that one request may be sent to.
- * @property isPublic whether callers need no key although the plan names tenants.
+ * @property isPublic whether callers need no key although the plan names organisations.
  */
 @Serializable
 public data class PlannedRoute(
@@ -81,7 +81,7 @@
  * The operators' complete plan of routes and services on the platform; the document of the project's own interface is [Environment].
  *
  * @property version increases with every change, not necessarily by one.
- * @property tenants the organisations whose keys callers must present; empty when callers need none.
+ * @property organisations the organisations whose keys callers must present; empty when callers need none.
  */
 @Serializable
 public data class RoutePlan(
@@ -89,7 +89,7 @@
     val routes: List<PlannedRoute>,
     val services: List<PlannedService>,
     val limits: RequestLimits,
-    val tenants: List<PlannedTenant> = emptyList(),
+    val organisations: List<PlannedOrganisation> = emptyList(),
 )
 
 /** An index of the routes of one [plan] by host and longest path prefix. */
--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/machine/SharedState.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/machine/SharedState.kt
@@ -251,7 +251,7 @@
     private fun isFuller(
         plan: RoutePlan,
         known: RoutePlan,
-    ): Boolean = plan.version == known.version && plan.tenants.isNotEmpty() && known.tenants.isEmpty()
+    ): Boolean = plan.version == known.version && plan.organisations.isNotEmpty() && known.organisations.isEmpty()
 
     /** Whether [record], of an earlier epoch than [known], is of a later heartbeat, or of the removal after the last one. */
     private fun isLaterHeartbeat(
--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/tenant/CallerKey.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/organisation/CallerKey.kt
@@ -1,4 +1,4 @@
-package dev.goldcrestquay.tenant
+package dev.goldcrestquay.organisation
 
 import java.security.MessageDigest
 
@@ -23,11 +23,11 @@
  * What an entry VM that relays a request says of its caller.
  *
  * @property planVersion the version of the plan by which that entry VM identified the caller.
- * @property tenant the name of the caller's organisation, or null when the caller of a public route presented no key.
+ * @property organisation the name of the caller's organisation, or null when the caller of a public route presented no key.
  */
 public data class RelayedCaller(
     val planVersion: Long,
-    val tenant: String?,
+    val organisation: String?,
 )
 
 /**
--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/tenant/TenantGate.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/organisation/OrganisationGate.kt
@@ -1,4 +1,4 @@
-package dev.goldcrestquay.tenant
+package dev.goldcrestquay.organisation
 
 import dev.goldcrestquay.contract.PlannedRoute
 import dev.goldcrestquay.contract.ResultCode
@@ -12,11 +12,11 @@
  *
  * The state never returns to an older plan, so a key that was taken away does not identify anybody again.
  */
-public class TenantGate(
+public class OrganisationGate(
     private val state: SharedState,
 ) {
     private var indexedPlan: RoutePlan? = null
-    private var index: TenantIndex? = null
+    private var index: OrganisationIndex? = null
 
     /** For whom a request on [route] to [host] and [path] is run; [route] may come from an earlier plan. */
     public fun identify(
@@ -24,10 +24,10 @@
         host: String,
         path: String,
         route: PlannedRoute,
-    ): Tenancy {
-        val routes = state.routes ?: return Tenancy.Rejected
+    ): CallerOrganisation {
+        val routes = state.routes ?: return CallerOrganisation.Rejected
         // A route that can't be read refuses its requests as not run; whether it is public is not known.
-        if (route.destinations.isEmpty()) return Tenancy.Unused
+        if (route.destinations.isEmpty()) return CallerOrganisation.Unused
         val isPublic = (routes.find(host, path)?.takeIf { it.destinations.isNotEmpty() } ?: route).isPublic
         return credentials.relayed?.let { identify(it, routes, isPublic) } ?: identify(credentials.key, routes, isPublic)
     }
@@ -36,10 +36,10 @@
         key: CallerKey?,
         routes: RouteIndex,
         isPublic: Boolean,
-    ): Tenancy {
-        val index = indexOf(routes.plan) ?: return Tenancy.Unused
-        if (key == null) return if (isPublic) Tenancy.Anonymous else Tenancy.Rejected
-        return index.find(key)?.let { Tenancy.Identified(it.name, it.priority) } ?: Tenancy.Rejected
+    ): CallerOrganisation {
+        val index = indexOf(routes.plan) ?: return CallerOrganisation.Unused
+        if (key == null) return if (isPublic) CallerOrganisation.Anonymous else CallerOrganisation.Rejected
+        return index.find(key)?.let { CallerOrganisation.Identified(it.name, it.priority) } ?: CallerOrganisation.Rejected
     }
 
     /** The entry VM that relays the request may know a later plan, or an earlier one. */
@@ -47,40 +47,48 @@
         caller: RelayedCaller,
         routes: RouteIndex,
         isPublic: Boolean,
-    ): Tenancy {
+    ): CallerOrganisation {
         val index = indexOf(routes.plan)
         val version = routes.plan.version
-        val name = caller.tenant
+        val name = caller.organisation
         // The same version without organisations came from a peer of a release that knows none.
         val knowsMore = caller.planVersion > version || (index == null && caller.planVersion == version)
         return when {
-            knowsMore -> name?.let { Tenancy.Identified(it, index?.find(it)?.priority) } ?: Tenancy.Anonymous
-            index == null -> Tenancy.Anonymous
-            name == null -> if (isPublic) Tenancy.Anonymous else Tenancy.Outdated
-            else -> index.findUnchanged(name, caller.planVersion)?.let { Tenancy.Identified(name, it.priority) } ?: Tenancy.Outdated
+            knowsMore -> name?.let { CallerOrganisation.Identified(it, index?.find(it)?.priority) } ?: CallerOrganisation.Anonymous
+            index == null -> CallerOrganisation.Anonymous
+            name == null -> if (isPublic) CallerOrganisation.Anonymous else CallerOrganisation.Outdated
+            else ->
+                index.findUnchanged(name, caller.planVersion)?.let { CallerOrganisation.Identified(name, it.priority) }
+                    ?: CallerOrganisation.Outdated
         }
     }
 
-    /** Why a request of [tenancy] is refused, or null when it may run. */
-    public fun refusal(tenancy: Tenancy): ResultCode? =
-        when (tenancy) {
-            Tenancy.Unused, Tenancy.Anonymous, is Tenancy.Identified -> null
+    /** Why a request of [callerOrganisation] is refused, or null when it may run. */
+    public fun refusal(callerOrganisation: CallerOrganisation): ResultCode? =
+        when (callerOrganisation) {
+            CallerOrganisation.Unused, CallerOrganisation.Anonymous, is CallerOrganisation.Identified -> null
             // Another entry VM may know a plan that has the key.
-            Tenancy.Rejected ->
+            CallerOrganisation.Rejected ->
                 if (state.age() <= MAXIMUM_REJECTION_AGE) ResultCode.UNKNOWN_CALLER else ResultCode.NOT_READY
-            Tenancy.Outdated -> ResultCode.NOT_READY
+            CallerOrganisation.Outdated -> ResultCode.NOT_READY
         }
 
-    /** What a peer is told of the caller of a request of [tenancy]; null when the plan names no organisations. */
-    public fun relayed(tenancy: Tenancy): RelayedCaller? {
+    /** What a peer is told of the caller of a request of [callerOrganisation]; null when the plan names no organisations. */
+    public fun relayed(callerOrganisation: CallerOrganisation): RelayedCaller? {
         val version = state.routes?.plan?.version
-        return if (tenancy == Tenancy.Unused || version == null) null else RelayedCaller(version, tenancy.tenantName)
+        return if (callerOrganisation == CallerOrganisation.Unused ||
+            version == null
+        ) {
+            null
+        } else {
+            RelayedCaller(version, callerOrganisation.organisationName)
+        }
     }
 
     /** The index of [plan], or null when it names no organisations. */
-    private fun indexOf(plan: RoutePlan): TenantIndex? {
+    private fun indexOf(plan: RoutePlan): OrganisationIndex? {
         if (plan !== indexedPlan) {
-            index = if (plan.tenants.isEmpty()) null else TenantIndex(plan, index)
+            index = if (plan.organisations.isEmpty()) null else OrganisationIndex(plan, index)
             indexedPlan = plan
         }
         return index
--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/tenant/TenantIndex.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/organisation/OrganisationIndex.kt
@@ -1,6 +1,6 @@
-package dev.goldcrestquay.tenant
+package dev.goldcrestquay.organisation
 
-import dev.goldcrestquay.contract.PlannedTenant
+import dev.goldcrestquay.contract.PlannedOrganisation
 import dev.goldcrestquay.contract.RoutePlan
 import java.nio.ByteBuffer
 import java.security.MessageDigest
@@ -13,11 +13,11 @@
  *
  * @param previous the index of the plan that was in force before in this process, or null.
  */
-internal class TenantIndex(
+internal class OrganisationIndex(
     private val plan: RoutePlan,
-    previous: TenantIndex?,
+    previous: OrganisationIndex?,
 ) {
-    private val tenantsByName = plan.tenants.asReversed().associateBy { it.name }
+    private val organisationsByName = plan.organisations.asReversed().associateBy { it.name }
     private val namesByDigest = HashMap<ByteBuffer, String>()
 
     /** By name, the version of the plan from which on, as far as this process knows, an organisation has lost no key. */
@@ -25,27 +25,27 @@
 
     init {
         val shared = HashSet<ByteBuffer>()
-        for (tenant in plan.tenants) {
-            for (digest in tenant.keyDigests.mapNotNull(::parse)) {
-                val known = namesByDigest.put(blind(digest), tenant.name)
-                if (known != null && known != tenant.name) shared += blind(digest)
+        for (organisation in plan.organisations) {
+            for (digest in organisation.keyDigests.mapNotNull(::parse)) {
+                val known = namesByDigest.put(blind(digest), organisation.name)
+                if (known != null && known != organisation.name) shared += blind(digest)
             }
         }
         namesByDigest -= shared
-        completeSince = tenantsByName.keys.associateWith { previous?.completeSince(it, namesByDigest) ?: plan.version }
+        completeSince = organisationsByName.keys.associateWith { previous?.completeSince(it, namesByDigest) ?: plan.version }
     }
 
     /** The organisation that has [key], or null. */
-    fun find(key: CallerKey): PlannedTenant? = namesByDigest[blind(key.digest)]?.let { tenantsByName[it] }
+    fun find(key: CallerKey): PlannedOrganisation? = namesByDigest[blind(key.digest)]?.let { organisationsByName[it] }
 
     /** The organisation called [name] if it has lost no key since the plan of the given [version], or null. */
     fun findUnchanged(
         name: String,
         version: Long,
-    ): PlannedTenant? = tenantsByName[name].takeIf { version >= (completeSince[name] ?: Long.MAX_VALUE) }
+    ): PlannedOrganisation? = organisationsByName[name].takeIf { version >= (completeSince[name] ?: Long.MAX_VALUE) }
 
     /** The organisation called [name], or null. */
-    fun find(name: String): PlannedTenant? = tenantsByName[name]
+    fun find(name: String): PlannedOrganisation? = organisationsByName[name]
 
     private fun completeSince(
         name: String,
--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/tenant/TenantShares.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/organisation/OrganisationShares.kt
@@ -1,4 +1,4 @@
-package dev.goldcrestquay.tenant
+package dev.goldcrestquay.organisation
 
 import dev.goldcrestquay.link.Clock
 import dev.goldcrestquay.routing.Admission
@@ -7,8 +7,13 @@
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
-/** Replaces the admission control's [decision] on a request of [tenancy] to [service] where organisations have to share its room. */
-public typealias ShareRoom = (service: String, tenancy: Tenancy, view: AdmissionView, decision: Admission) -> Admission
+/** Replaces the admission control's [decision] on a request of [callerOrganisation] to [service] where organisations have to share its room. */
+public typealias ShareRoom = (
+    service: String,
+    callerOrganisation: CallerOrganisation,
+    view: AdmissionView,
+    decision: Admission,
+) -> Admission
 
 /**
  * Shares the room in a full service among organisations.
@@ -25,7 +30,7 @@
  * as having had one request more, which was served like the average.
  * Confined to the entry VM's event loop.
  */
-public class TenantShares(
+public class OrganisationShares(
     private val clock: Clock,
 ) {
     private class Counts(
@@ -53,13 +58,13 @@
     /** Decides as [ShareRoom] says, and counts the request. */
     public fun share(
         service: String,
-        tenancy: Tenancy,
+        callerOrganisation: CallerOrganisation,
         view: AdmissionView,
         decision: Admission,
     ): Admission {
-        val tenant = tenancy.tenantName ?: return decision
+        val organisation = callerOrganisation.organisationName ?: return decision
         val group = group(service to view.priority)
-        val counts = group[tenant] ?: addCounts(group, tenant) ?: return decision
+        val counts = group[organisation] ?: addCounts(group, organisation) ?: return decision
         val shared = if (view.excess == 0) decision else share(group.values, counts, view, decision)
         counts.asked.add()
         if (shared == Admission.Admitted) counts.admitted.add()
@@ -96,13 +101,13 @@
         return groups.getOrPut(key) { HashMap() }
     }
 
-    /** The new counts of [tenant], or null when there are too many. */
+    /** The new counts of [organisation], or null when there are too many. */
     private fun addCounts(
         group: MutableMap<String, Counts>,
-        tenant: String,
+        organisation: String,
     ): Counts? {
         if (group.size >= MAXIMUM_TENANTS) group.values.removeIf { it.asked.total() == 0 }
-        return if (group.size < MAXIMUM_TENANTS) Counts(clock).also { group[tenant] = it } else null
+        return if (group.size < MAXIMUM_TENANTS) Counts(clock).also { group[organisation] = it } else null
     }
 
     private companion object {
--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/routing/ForwardOutcome.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/routing/ForwardOutcome.kt
@@ -4,9 +4,9 @@
 import dev.goldcrestquay.link.SendResult
 import dev.goldcrestquay.machine.FleetMember
 import dev.goldcrestquay.machine.RegisteredTarget
+import dev.goldcrestquay.organisation.CallerCredentials
+import dev.goldcrestquay.organisation.CallerOrganisation
 import dev.goldcrestquay.overload.RoomDecision
-import dev.goldcrestquay.tenant.CallerCredentials
-import dev.goldcrestquay.tenant.Tenancy
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
@@ -47,13 +47,13 @@
  * @property remaining the time left.
  * @property confirm must be called once the connection is open; if it returns false, the target may no longer get the request, which
  *   ends with [dev.goldcrestquay.link.Refusal.WITHDRAWN].
- * @property tenancy returns for whom the request is run; to be asked after [confirm].
+ * @property callerOrganisation returns for whom the request is run; to be asked after [confirm].
  */
 public class Dispatch<Connection>(
     public val target: RegisteredTarget,
     public val connection: Connection?,
     public val remaining: Duration,
-    public val tenancy: () -> Tenancy = { Tenancy.Unused },
+    public val callerOrganisation: () -> CallerOrganisation = { CallerOrganisation.Unused },
     public val confirm: suspend () -> Boolean,
 )
 
@@ -118,7 +118,7 @@
      * @property planVersion the version of the plan in force, or -1 if there is none.
      * @property factsAge the staleness of the records that the decision is based on.
      * @property remaining the time left until the caller's deadline or the route's timeout.
-     * @property tenant the name of the caller's organisation, or null.
+     * @property organisation the name of the caller's organisation, or null.
      */
     public data class Sent(
         override val request: String,
@@ -130,7 +130,7 @@
         val planVersion: Long,
         val factsAge: Duration,
         val remaining: Duration,
-        val tenant: String? = null,
+        val organisation: String? = null,
     ) : ForwardEvent
 
     /**
@@ -141,7 +141,7 @@
      * @property expectedFactor the expected time at that target, in multiples of the usual service time.
      * @property probes the number of targets probed.
      * @property room why the request got no room, where services share scarce room; else null.
-     * @property tenant the name of the caller's organisation, or null.
+     * @property organisation the name of the caller's organisation, or null.
      */
     public data class Refused(
         override val request: String,
@@ -152,7 +152,7 @@
         val probes: Int,
         val retryAfter: Duration,
         val room: RoomDecision.Refused? = null,
-        val tenant: String? = null,
+        val organisation: String? = null,
     ) : ForwardEvent
 
     /** The answer to a request named another limit than before: requests per second from all entry VMs, or null when it was lifted. */
@@ -217,7 +217,7 @@
      *
      * @property outcome `ANSWERED` or the name of the result code's kind.
      * @property late whether the request took longer than the route's latency objective.
-     * @property tenant the name of the caller's organisation, or null.
+     * @property organisation the name of the caller's organisation, or null.
      */
     public data class Ended(
         override val request: String,
@@ -227,6 +227,6 @@
         val code: ResultCode?,
         val took: Duration,
         val late: Boolean,
-        val tenant: String? = null,
+        val organisation: String? = null,
     ) : ForwardEvent
 }
--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/routing/ForwardingParts.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/routing/ForwardingParts.kt
@@ -3,9 +3,9 @@
 import dev.goldcrestquay.contract.PlannedRoute
 import dev.goldcrestquay.contract.ResultCode
 import dev.goldcrestquay.link.Clock
-import dev.goldcrestquay.tenant.ShareRoom
-import dev.goldcrestquay.tenant.TenantGate
-import dev.goldcrestquay.tenant.TenantShares
+import dev.goldcrestquay.organisation.OrganisationGate
+import dev.goldcrestquay.organisation.OrganisationShares
+import dev.goldcrestquay.organisation.ShareRoom
 import kotlin.random.Random
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -21,8 +21,8 @@
     val statistics = RouteStatistics()
     val recorder = AttemptRecorder(tables, statistics, report)
     val callerAges = CallerAgeEstimator()
-    val tenantGate = TenantGate(tables.state)
-    val shareRoom: ShareRoom = TenantShares(clock)::share
+    val organisationGate = OrganisationGate(tables.state)
+    val shareRoom: ShareRoom = OrganisationShares(clock)::share
     val secondSends = SecondSends(tables.budget, statistics, clock, report)
 
     /** The outcome of a request that has not run; callers that are refused together are told to return at different times. */
--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/routing/ForwardingRun.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/routing/ForwardingRun.kt
@@ -7,10 +7,10 @@
 import dev.goldcrestquay.link.SendResult
 import dev.goldcrestquay.machine.FleetMember
 import dev.goldcrestquay.machine.RegisteredTarget
+import dev.goldcrestquay.organisation.CallerOrganisation
 import dev.goldcrestquay.overload.RoomRequest
 import dev.goldcrestquay.spread.allowsSecondSend
 import dev.goldcrestquay.spread.isWorthSecondSend
-import dev.goldcrestquay.tenant.Tenancy
 import kotlinx.coroutines.NonCancellable
 import kotlinx.coroutines.withContext
 import kotlinx.coroutines.withTimeoutOrNull
@@ -28,7 +28,7 @@
     private val request: ForwardRequest<Connection, Reply>,
     private val route: PlannedRoute,
     private val service: PlannedService,
-    private var tenancy: Tenancy,
+    private var callerOrganisation: CallerOrganisation,
 ) {
     private val tables = parts.tables
     private val sampler = parts.sampler
@@ -36,7 +36,7 @@
     private val report = parts.report
     private val statistics = parts.statistics
     private val recorder = parts.recorder
-    private val tenantGate = parts.tenantGate
+    private val organisationGate = parts.organisationGate
     private val secondSends = parts.secondSends
 
     private val timeLimit = timeLimit(route, request.deadline)
@@ -97,7 +97,13 @@
             val view = AdmissionView(expected, chosen.excess, objectiveLeft, remaining, priority)
             val roomRequest = tables.room?.let { askForRoom(view, chosen) }
             val admission =
-                if (roomRequest == null) parts.shareRoom(service.name, tenancy, view, admit(view)) else tables.room.admit(roomRequest)
+                if (roomRequest ==
+                    null
+                ) {
+                    parts.shareRoom(service.name, callerOrganisation, view, admit(view))
+                } else {
+                    tables.room.admit(roomRequest)
+                }
             if (admission is Admission.Refused) return combineOutcomes(last, refuse(chosen, view, admission))
             val sendOutcome = attempt(attempt, chosen, expected, roomRequest)
             last = combineOutcomes(last, sendOutcome.outcome)
@@ -109,16 +115,16 @@
         return (if (neverSent) relay(maximumAttempts) else null) ?: last
     }
 
-    private val priority: Int get() = (tenancy as? Tenancy.Identified)?.priority ?: route.priority
+    private val priority: Int get() = (callerOrganisation as? CallerOrganisation.Identified)?.priority ?: route.priority
 
     /** Identifies the caller by the plan that is in force now; returns false when the request may not run. */
     private fun identifyCaller(): Boolean {
-        tenancy = tenantGate.identify(request.credentials, request.host, request.path, route)
-        return tenantGate.refusal(tenancy) == null
+        callerOrganisation = organisationGate.identify(request.credentials, request.host, request.path, route)
+        return organisationGate.refusal(callerOrganisation) == null
     }
 
     private fun refuseCaller(): ForwardOutcome.NotRun? =
-        if (identifyCaller()) null else tenantGate.refusal(tenancy)?.let { parts.notRun(it) }
+        if (identifyCaller()) null else organisationGate.refusal(callerOrganisation)?.let { parts.notRun(it) }
 
     /** Whether [chosen] has said meanwhile that it takes no requests, or none while another of the [candidates] does. */
     private fun isSurpassed(
@@ -145,7 +151,7 @@
     /** Has a peer serve the request, with up to [attempts] targets; null when no peer reaches any. */
     private suspend fun relay(attempts: Int): ForwardOutcome<Reply>? {
         var last: ForwardOutcome<Reply>? = null
-        val formatVersion = if (tenancy == Tenancy.Unused) 0 else FleetMember.RELAYED_CALLER_FORMAT_VERSION
+        val formatVersion = if (callerOrganisation == CallerOrganisation.Unused) 0 else FleetMember.RELAYED_CALLER_FORMAT_VERSION
         for (peer in tables.relayPeers.candidates(formatVersion).take(MAXIMUM_RELAYS)) {
             if (!request.isCallerWaiting || remaining < MINIMUM_TIME_LEFT) return last
             refuseCaller()?.let { return it }
@@ -161,7 +167,8 @@
         attempts: Int,
     ): ForwardOutcome<Reply> {
         val startedAt = clock()
-        val terms = RelayTerms(tables.relayPeers.self, startedAt - request.arrivedAt, attempts, tenantGate.relayed(tenancy))
+        val terms =
+            RelayTerms(tables.relayPeers.self, startedAt - request.arrivedAt, attempts, organisationGate.relayed(callerOrganisation))
         request.isCancellable = route.kind.idempotent
         try {
             val outcome =
@@ -199,7 +206,7 @@
                 chosen.probes,
                 delay,
                 refusal.room,
-                tenancy.tenantName,
+                callerOrganisation.organisationName,
             ),
         )
         return if (refusal.room == null) parts.notRun(ResultCode.OVERLOADED, delay) else ForwardOutcome.NotRun(ResultCode.OVERLOADED, delay)
@@ -270,17 +277,17 @@
         var result: SendResult<Reply>? = null
         var sentAt: Duration? = null
         // The other of two attempts under way may find that the key was taken away since.
-        var sentFor = tenancy
+        var sentFor = callerOrganisation
         request.isCancellable = route.kind.idempotent
         try {
             val confirm =
                 suspend {
                     mayStillGetRequests(target).also {
                         sentAt = if (it) clock() else null
-                        sentFor = tenancy
+                        sentFor = callerOrganisation
                     }
                 }
-            val dispatch = Dispatch(target, chosen.connection, left, { tenancy }, confirm)
+            val dispatch = Dispatch(target, chosen.connection, left, { callerOrganisation }, confirm)
             result = withTimeoutOrNull(left) { request.send(dispatch) }
                 ?: SendResult.Broken(ResultCode.DEADLINE_EXCEEDED)
         } finally {
@@ -310,14 +317,14 @@
 
     /** Counts a run of the caller's organisation unless the request was not sent, or its target proved that it did not run it. */
     private fun recordRun(
-        sentFor: Tenancy,
+        sentFor: CallerOrganisation,
         result: SendResult<Reply>?,
         sentAt: Duration?,
         startedAt: Duration,
     ) {
-        val tenant = sentFor.tenantName ?: return
+        val organisation = sentFor.organisationName ?: return
         val runAt = if (result is SendResult.Replied) sentAt ?: startedAt else sentAt
-        if (runAt != null && result !is SendResult.Refused) tables.recordRun(tenant, runAt)
+        if (runAt != null && result !is SendResult.Refused) tables.recordRun(organisation, runAt)
     }
 
     /**
@@ -378,7 +385,7 @@
                 ?.version ?: -1,
         factsAge = tables.state.age(),
         remaining = left,
-        tenant = tenancy.tenantName,
+        organisation = callerOrganisation.organisationName,
     )
 
     private fun resultName(result: SendResult<Reply>): String =
--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/routing/Relay.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/routing/Relay.kt
@@ -2,7 +2,7 @@
 
 import dev.goldcrestquay.machine.FleetMember
 import dev.goldcrestquay.machine.FleetMembers
-import dev.goldcrestquay.tenant.RelayedCaller
+import dev.goldcrestquay.organisation.RelayedCaller
 import kotlin.random.Random
 import kotlin.time.Duration
 
--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/routing/RequestForwarder.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/routing/RequestForwarder.kt
@@ -5,8 +5,8 @@
 import dev.goldcrestquay.link.Clock
 import dev.goldcrestquay.machine.SharedState
 import dev.goldcrestquay.move.VersionEvidence
+import dev.goldcrestquay.organisation.CallerCredentials
 import dev.goldcrestquay.overload.ScarceRoom
-import dev.goldcrestquay.tenant.CallerCredentials
 import kotlinx.coroutines.withTimeoutOrNull
 import kotlin.random.Random
 import kotlin.time.Duration
@@ -18,7 +18,7 @@
  * @property reach whether this entry VM reaches targets.
  * @property relayPeers the peers that serve requests in place of this entry VM while it does not.
  * @property plannedStop which requests this entry VM still takes while it stops.
- * @property recordRun is called for each attempt that a target began to run, with the name of the tenant and the time it was sent at.
+ * @property recordRun is called for each attempt that a target began to run, with the name of the organisation and the time it was sent at.
  * @property room decides about room at services that have too little of it; null where each request is judged by itself.
  * @property steersByRejections whether targets that reject requests although they have a free slot get fewer of them.
  * @property maySendTwice whether lookups with a short deadline may go to a second target while the first still works on them.
@@ -34,7 +34,7 @@
     public val reach: TargetReach,
     public val relayPeers: RelayPeers,
     public val plannedStop: PlannedStop,
-    public val recordRun: (tenant: String, sentAt: Duration) -> Unit = { _, _ -> },
+    public val recordRun: (organisation: String, sentAt: Duration) -> Unit = { _, _ -> },
     public val room: ScarceRoom? = null,
     public val steersByRejections: () -> Boolean = { false },
     public val maySendTwice: Boolean = true,
@@ -56,7 +56,7 @@
     private val report: (ForwardEvent) -> Unit,
 ) {
     private val parts = ForwardingParts(tables, sampler, clock, random, report)
-    private val tenantGate = parts.tenantGate
+    private val organisationGate = parts.organisationGate
 
     /** Forwards [request] and returns its outcome; waits for the first load of the shared state if necessary. */
     public suspend fun forward(request: ForwardRequest<Connection, Reply>): ForwardOutcome<Reply> {
@@ -64,8 +64,8 @@
         tables.refreshRecords()
         val routes = tables.state.routes ?: return reportOutcome(request, null, null, parts.notRun(ResultCode.NOT_READY))
         val route = routes.find(request.host, request.path) ?: return reportOutcome(request, null, null, parts.notRun(ResultCode.NO_ROUTE))
-        val tenancy = tenantGate.identify(request.credentials, request.host, request.path, route)
-        tenantGate.refusal(tenancy)?.let { return reportOutcome(request, route, null, parts.notRun(it)) }
+        val callerOrganisation = organisationGate.identify(request.credentials, request.host, request.path, route)
+        organisationGate.refusal(callerOrganisation)?.let { return reportOutcome(request, route, null, parts.notRun(it)) }
         val serviceName = tables.splits.choose(route) ?: return reportOutcome(request, route, null, parts.notRun(ResultCode.NO_TARGET))
         request.origin?.let { report(ForwardEvent.RelayReceived(request.id, it.from, it.elapsed, it.attempts)) }
         // The entry VM that the request came from has counted it.
@@ -77,9 +77,9 @@
             ) {
                 parts.notRun(ResultCode.NO_TARGET)
             } else {
-                ForwardingRun(parts, request, route, service, tenancy).run()
+                ForwardingRun(parts, request, route, service, callerOrganisation).run()
             }
-        return reportOutcome(request, route, serviceName, outcome, tenancy.tenantName)
+        return reportOutcome(request, route, serviceName, outcome, callerOrganisation.organisationName)
     }
 
     /**
@@ -102,7 +102,7 @@
             when {
                 !tables.plannedStop.allows(timeLimit(route, deadline) - age) -> LEAVING
                 route == null || tables.state.age() > OLD_RECORDS_AGE -> return null
-                tenantGate.refusal(tenantGate.identify(credentials, host, path, route)) == ResultCode.UNKNOWN_CALLER ->
+                organisationGate.refusal(organisationGate.identify(credentials, host, path, route)) == ResultCode.UNKNOWN_CALLER ->
                     parts.notRun(ResultCode.UNKNOWN_CALLER)
                 else -> return null
             }
@@ -115,7 +115,7 @@
         route: PlannedRoute?,
         service: String?,
         outcome: ForwardOutcome<Reply>,
-        tenant: String? = null,
+        organisation: String? = null,
     ): ForwardOutcome<Reply> {
         val took = clock() - request.arrivedAt
         val code =
@@ -125,7 +125,7 @@
                 is ForwardOutcome.Unknown -> outcome.code
             }
         val late = route?.latencyObjective?.let { took > it } ?: false
-        report(ForwardEvent.Ended(request.id, route?.name, service, code?.kind?.name ?: "ANSWERED", code, took, late, tenant))
+        report(ForwardEvent.Ended(request.id, route?.name, service, code?.kind?.name ?: "ANSWERED", code, took, late, organisation))
         return outcome
     }
 
--- a/goldcrestquay/src/test/kotlin/dev/goldcrestquay/PlatformSamples.kt
+++ b/goldcrestquay/src/test/kotlin/dev/goldcrestquay/PlatformSamples.kt
@@ -1,8 +1,8 @@
 package dev.goldcrestquay
 
+import dev.goldcrestquay.contract.PlannedOrganisation
 import dev.goldcrestquay.contract.PlannedRoute
 import dev.goldcrestquay.contract.PlannedService
-import dev.goldcrestquay.contract.PlannedTenant
 import dev.goldcrestquay.contract.RequestKind
 import dev.goldcrestquay.contract.RequestLimits
 import dev.goldcrestquay.contract.RoutePlan
@@ -13,7 +13,7 @@
 import dev.goldcrestquay.machine.SocketAddress
 import dev.goldcrestquay.machine.TargetPhase
 import dev.goldcrestquay.machine.TargetRecord
-import dev.goldcrestquay.tenant.CallerKey
+import dev.goldcrestquay.organisation.CallerKey
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -31,22 +31,22 @@
 fun routePlan(
     version: Long = 1,
     routes: List<PlannedRoute> = RequestKind.entries.map { plannedRoute(it) },
-    tenants: List<PlannedTenant> = emptyList(),
+    organisations: List<PlannedOrganisation> = emptyList(),
 ): RoutePlan =
     RoutePlan(
         version,
         routes,
         listOf(PlannedService("shop", "/health", 200, 7.0)),
         RequestLimits(16_384, 67_108_864, 3.seconds, 15.seconds),
-        tenants,
+        organisations,
     )
 
 /** An organisation with the given [keys]. */
-fun plannedTenant(
+fun plannedOrganisation(
     name: String,
     vararg keys: String,
     priority: Int? = null,
-): PlannedTenant = PlannedTenant(name, keys.map { CallerKey.digestText(it) }, priority)
+): PlannedOrganisation = PlannedOrganisation(name, keys.map { CallerKey.digestText(it) }, priority)
 
 /** A record of a [routePlan] at [offset]. */
 fun planRecord(
--- a/goldcrestquay/src/test/kotlin/dev/goldcrestquay/machine/EarlierReleaseTest.kt
+++ b/goldcrestquay/src/test/kotlin/dev/goldcrestquay/machine/EarlierReleaseTest.kt
@@ -12,7 +12,7 @@
 import dev.goldcrestquay.overload.KindLoad
 import dev.goldcrestquay.overload.ServiceLoad
 import dev.goldcrestquay.planRecord
-import dev.goldcrestquay.plannedTenant
+import dev.goldcrestquay.plannedOrganisation
 import dev.goldcrestquay.registeredTarget
 import dev.goldcrestquay.routePlan
 import dev.goldcrestquay.routing.CrashSuspicion
@@ -118,11 +118,12 @@
     /** Earlier releases ignore organisations; a plan without them is written as they write it. */
     @Test
     fun `organisations of a plan are passed on as digests, and absent ones mean none`() {
-        val plan = routePlan(7, tenants = listOf(plannedTenant("a", "secret", priority = 1)))
+        val plan = routePlan(7, organisations = listOf(plannedOrganisation("a", "secret", priority = 1)))
         val text = json.encodeToString(RoutePlan.serializer(), plan)
         json.decodeFromString(RoutePlan.serializer(), text) shouldBe plan
         text.contains("secret") shouldBe false
-        json.encodeToString(RoutePlan.serializer(), routePlan(7)).let { it.contains("tenants") || it.contains("isPublic") } shouldBe false
+        json.encodeToString(RoutePlan.serializer(), routePlan(7)).let { it.contains("organisations") || it.contains("isPublic") } shouldBe
+            false
     }
 
     @Test
--- a/goldcrestquay/src/test/kotlin/dev/goldcrestquay/machine/SharedStateTest.kt
+++ b/goldcrestquay/src/test/kotlin/dev/goldcrestquay/machine/SharedStateTest.kt
@@ -6,7 +6,7 @@
 import dev.goldcrestquay.move.RolloutState
 import dev.goldcrestquay.move.RolloutVerdict
 import dev.goldcrestquay.planRecord
-import dev.goldcrestquay.plannedTenant
+import dev.goldcrestquay.plannedOrganisation
 import dev.goldcrestquay.registeredTarget
 import dev.goldcrestquay.routePlan
 import dev.goldcrestquay.targetRecord
@@ -23,13 +23,13 @@
     /** The load pattern of an upgrade: a leader of a release that knows no organisations reads the plan first. */
     @Test
     fun `a plan that was passed on without its organisations is replaced by the same one with them, and not the other way round`() {
-        val whole = PlanRecord("config", 3, routePlan(7, tenants = listOf(plannedTenant("a", "key"))))
+        val whole = PlanRecord("config", 3, routePlan(7, organisations = listOf(plannedOrganisation("a", "key"))))
         state.apply(planRecord(version = 7, offset = 3)) shouldBe true
         state.apply(whole) shouldBe true
         state.apply(planRecord(version = 7, offset = 3)) shouldBe false
-        state.routes?.plan?.tenants shouldBe whole.plan.tenants
+        state.routes?.plan?.organisations shouldBe whole.plan.organisations
         state.apply(planRecord(version = 8, offset = 4)) shouldBe true
-        state.routes?.plan?.tenants shouldBe emptyList()
+        state.routes?.plan?.organisations shouldBe emptyList()
     }
 
     @Test
--- a/goldcrestquay/src/test/kotlin/dev/goldcrestquay/tenant/TenantRequestTest.kt
+++ b/goldcrestquay/src/test/kotlin/dev/goldcrestquay/organisation/OrganisationRequestTest.kt
@@ -1,6 +1,6 @@
-package dev.goldcrestquay.tenant
+package dev.goldcrestquay.organisation
 
-import dev.goldcrestquay.contract.PlannedTenant
+import dev.goldcrestquay.contract.PlannedOrganisation
 import dev.goldcrestquay.contract.RequestKind
 import dev.goldcrestquay.contract.ResultCode
 import dev.goldcrestquay.fleetMember
@@ -14,8 +14,8 @@
 import dev.goldcrestquay.overload.FleetPressure
 import dev.goldcrestquay.overload.RoomRefusalReason
 import dev.goldcrestquay.overload.ScarceRoom
+import dev.goldcrestquay.plannedOrganisation
 import dev.goldcrestquay.plannedRoute
-import dev.goldcrestquay.plannedTenant
 import dev.goldcrestquay.registeredTarget
 import dev.goldcrestquay.routePlan
 import dev.goldcrestquay.routing.ColdTargetLimiter
@@ -60,10 +60,10 @@
 
 /** Requests of callers with keys while the plan changes, as the forwarder of one entry VM handles them. */
 @OptIn(ExperimentalCoroutinesApi::class)
-class TenantRequestTest {
+class OrganisationRequestTest {
     private val runs = mutableListOf<Pair<String, Duration>>()
     private val events = mutableListOf<ForwardEvent>()
-    private val sentFor = mutableListOf<Tenancy>()
+    private val sentFor = mutableListOf<CallerOrganisation>()
     private val relayed = mutableListOf<RelayTerms>()
     private lateinit var state: SharedState
     private lateinit var reach: TargetReach
@@ -71,14 +71,14 @@
     private var busy = 0
     private var onRelay: () -> Unit = { }
 
-    private val tenants = listOf(plannedTenant("small", "key", "old key", priority = 0), plannedTenant("large", "other"))
+    private val organisations = listOf(plannedOrganisation("small", "key", "old key", priority = 0), plannedOrganisation("large", "other"))
 
     private fun putPlan(
         version: Long,
-        tenants: List<PlannedTenant>,
+        organisations: List<PlannedOrganisation>,
         isPublic: Boolean = false,
     ): Boolean {
-        val plan = routePlan(version, RequestKind.entries.map { plannedRoute(it, attempts = 3).copy(isPublic = isPublic) }, tenants)
+        val plan = routePlan(version, RequestKind.entries.map { plannedRoute(it, attempts = 3).copy(isPublic = isPublic) }, organisations)
         return state.apply(PlanRecord("config", version, plan)).also { state.confirmedAt?.let(state::confirm) }
     }
 
@@ -112,7 +112,7 @@
                 reach,
                 RelayPeers(members, random),
                 PlannedStop(clock) { 6.seconds },
-                { tenant, sentAt -> runs += tenant to sentAt },
+                { organisation, sentAt -> runs += organisation to sentAt },
                 if (sharesScarceRoom) ScarceRoom(clock, Random(1), FleetPressure(clock)) else null,
             ) { }
         return RequestForwarder(tables, sampler, clock, random, events::add)
@@ -136,7 +136,7 @@
                 if (!dispatch.confirm()) {
                     SendResult.Refused(Refusal.WITHDRAWN)
                 } else {
-                    sentFor += dispatch.tenancy()
+                    sentFor += dispatch.callerOrganisation()
                     send(dispatch)
                 }
             },
@@ -166,7 +166,7 @@
         runTest {
             val forwarder = forwarder(isConfirmed = false)
             request("key").codeFrom(forwarder) shouldBe ResultCode.NOT_READY
-            putPlan(1, tenants)
+            putPlan(1, organisations)
             withClue("a plan of unknown age") { request("new").codeFrom(forwarder) shouldBe ResultCode.NOT_READY }
             state.confirm(currentTime.milliseconds)
             request("new").codeFrom(forwarder) shouldBe ResultCode.UNKNOWN_CALLER
@@ -179,7 +179,7 @@
     fun `an unknown caller is refused before its body is read, but not on a route that does not exist`() =
         runTest {
             val forwarder = forwarder()
-            putPlan(1, tenants)
+            putPlan(1, organisations)
             val now = currentTime.milliseconds
 
             fun refuse(
@@ -199,22 +199,22 @@
     fun `a key that is taken away while its request is retried, or a connection opened, lets nothing more run`() =
         runTest {
             val forwarder = forwarder()
-            putPlan(1, tenants)
+            putPlan(1, organisations)
             val retried =
                 request("old key") {
-                    putPlan(2, listOf(plannedTenant("small", "key")))
+                    putPlan(2, listOf(plannedOrganisation("small", "key")))
                     SendResult.Refused(Refusal.SHEDDING)
                 }
             retried.codeFrom(forwarder) shouldBe ResultCode.UNKNOWN_CALLER
             sentFor.size shouldBe 1
             launch {
                 delay(1)
-                putPlan(3, listOf(plannedTenant("small", "new")))
+                putPlan(3, listOf(plannedOrganisation("small", "new")))
             }
             withClue("while targets are probed") { request("key").codeFrom(forwarder) shouldBe ResultCode.UNKNOWN_CALLER }
             sentFor.size shouldBe 1
             runs.shouldBeEmpty()
-            putPlan(2, tenants) shouldBe false
+            putPlan(2, organisations) shouldBe false
             request("key").codeFrom(forwarder) shouldBe ResultCode.UNKNOWN_CALLER
         }
 
@@ -222,15 +222,15 @@
     fun `a caller without a key waits in vain once its route is no longer public`() =
         runTest {
             val forwarder = forwarder()
-            putPlan(1, tenants, isPublic = true)
+            putPlan(1, organisations, isPublic = true)
             request(null).codeFrom(forwarder) shouldBe null
             val retried =
                 request(null) {
-                    putPlan(2, tenants)
+                    putPlan(2, organisations)
                     SendResult.Refused(Refusal.SHEDDING)
                 }
             retried.codeFrom(forwarder) shouldBe ResultCode.UNKNOWN_CALLER
-            sentFor shouldBe List(2) { Tenancy.Anonymous }
+            sentFor shouldBe List(2) { CallerOrganisation.Anonymous }
             runs.shouldBeEmpty()
         }
 
@@ -238,7 +238,7 @@
     fun `each run is counted for its organisation at the time it was sent, and none that a target proves not to have run`() =
         runTest {
             val forwarder = forwarder()
-            putPlan(1, tenants)
+            putPlan(1, organisations)
             val results =
                 listOf(
                     SendResult.Replied("done") to 1,
@@ -275,7 +275,7 @@
     fun `a run is counted for the organisation it was sent for, though the key is taken away before a second send`() =
         runTest {
             val forwarder = forwarder()
-            putPlan(1, tenants)
+            putPlan(1, organisations)
 
             suspend fun send(took: Duration) =
                 request("key", kind = RequestKind.SAFE, deadline = 600.milliseconds) {
@@ -286,7 +286,7 @@
             runs.clear()
             launch {
                 delay(10)
-                putPlan(2, listOf(plannedTenant("small", "new")))
+                putPlan(2, listOf(plannedOrganisation("small", "new")))
             }
             send(300.milliseconds) shouldBe null
             withClue("the second target") { events.filterIsInstance<ForwardEvent.SentTwice>().size shouldBe 1 }
@@ -298,16 +298,16 @@
     fun `an organisation's priority goes before the route's, and lines name the organisation`() =
         runTest {
             val forwarder = forwarder()
-            putPlan(1, tenants)
+            putPlan(1, organisations)
             busy = 40
             for ((key, priority) in listOf("key" to 0, "other" to 1)) {
                 events.clear()
                 request(key).codeFrom(forwarder) shouldBe ResultCode.OVERLOADED
                 val refused = events.filterIsInstance<ForwardEvent.Refused>().single()
                 refused.view.priority shouldBe priority
-                refused.tenant shouldBe if (priority == 0) "small" else "large"
-                events.filterIsInstance<ForwardEvent.Ended>().single().tenant shouldBe refused.tenant
-                events.toString().contains(tenants.first().keyDigests.first()) shouldBe false
+                refused.organisation shouldBe if (priority == 0) "small" else "large"
+                events.filterIsInstance<ForwardEvent.Ended>().single().organisation shouldBe refused.organisation
+                events.toString().contains(organisations.first().keyDigests.first()) shouldBe false
             }
         }
 
@@ -315,7 +315,7 @@
     fun `a full service is shared among organisations`() =
         runTest {
             val forwarder = forwarder()
-            putPlan(1, listOf(plannedTenant("small", "key"), plannedTenant("large", "other")))
+            putPlan(1, listOf(plannedOrganisation("small", "key"), plannedOrganisation("large", "other")))
             repeat(10) { sendBriefly(forwarder, "other") shouldBe null }
             busy = 12
             sendBriefly(forwarder, "key") shouldBe ResultCode.OVERLOADED
@@ -327,7 +327,7 @@
     fun `where kinds of requests share scarce room, a refusal stands though the organisation is starved`() =
         runTest {
             val forwarder = forwarder(sharesScarceRoom = true)
-            putPlan(1, listOf(plannedTenant("small", "key"), plannedTenant("large", "other")))
+            putPlan(1, listOf(plannedOrganisation("small", "key"), plannedOrganisation("large", "other")))
             repeat(10) { sendBriefly(forwarder, "other") shouldBe null }
             busy = 12
             repeat(6) { sendBriefly(forwarder, "key") shouldBe ResultCode.OVERLOADED }
@@ -338,7 +338,7 @@
     fun `where kinds of requests share scarce room, an organisation gives way to none that is starved`() =
         runTest {
             val forwarder = forwarder(sharesScarceRoom = true)
-            putPlan(1, listOf(plannedTenant("small", "key"), plannedTenant("large", "other")))
+            putPlan(1, listOf(plannedOrganisation("small", "key"), plannedOrganisation("large", "other")))
             repeat(10) { sendBriefly(forwarder, "other") shouldBe null }
             busy = 200
             repeat(6) { sendBriefly(forwarder, "key") shouldBe ResultCode.OVERLOADED }
@@ -350,7 +350,7 @@
     fun `a cut-off entry VM relays the organisation's name and plan to peers that know them, and nothing once the key is taken away`() =
         runTest {
             val forwarder = forwarder()
-            putPlan(4, tenants)
+            putPlan(4, organisations)
             (1..8).forEach { reach.recordContact("t$it", isAnswered = false) }
             members.recordHeartbeat(fleetMember(2).copy(formatVersion = 1))
             forwarder.forward(request("key"))
@@ -358,10 +358,10 @@
             members.recordHeartbeat(fleetMember(3).copy(formatVersion = 2))
             forwarder.forward(request("key"))
             relayed.single().caller shouldBe RelayedCaller(4, "small")
-            putPlan(5, listOf(plannedTenant("small", "new")))
+            putPlan(5, listOf(plannedOrganisation("small", "new")))
             request("key").codeFrom(forwarder) shouldBe ResultCode.UNKNOWN_CALLER
             members.recordHeartbeat(fleetMember(4).copy(formatVersion = 2))
-            onRelay = { putPlan(6, tenants) }
+            onRelay = { putPlan(6, organisations) }
             withClue("between two peers") { request("new").codeFrom(forwarder) shouldBe ResultCode.UNKNOWN_CALLER }
             relayed.map { it.caller } shouldBe listOf(RelayedCaller(4, "small"), RelayedCaller(5, "small"))
             onRelay = { }
@@ -378,7 +378,7 @@
     fun `a relayed request runs for the organisation that its terms name as long as that has lost no key since`() =
         runTest {
             val forwarder = forwarder()
-            putPlan(4, tenants)
+            putPlan(4, organisations)
 
             suspend fun relay(
                 version: Long,
@@ -388,17 +388,17 @@
             relay(3, "small") shouldBe ResultCode.NOT_READY
             relay(4, "unknown") shouldBe ResultCode.NOT_READY
             relay(5, "unknown") shouldBe null
-            putPlan(5, listOf(plannedTenant("small", "key", "old key", "new"), plannedTenant("large", "next")))
+            putPlan(5, listOf(plannedOrganisation("small", "key", "old key", "new"), plannedOrganisation("large", "next")))
             relay(4, "small") shouldBe null
             relay(4, "large") shouldBe ResultCode.NOT_READY
             relay(5, "large") shouldBe null
-            putPlan(6, listOf(plannedTenant("small", "key", "new"), plannedTenant("large", "next", "old key")))
+            putPlan(6, listOf(plannedOrganisation("small", "key", "new"), plannedOrganisation("large", "next", "old key")))
             withClue("a key went to another") { relay(5, "small") shouldBe ResultCode.NOT_READY }
             relay(5, "large") shouldBe null
-            sentFor.map { it.tenantName } shouldBe listOf("small", "unknown", "small", "large", "large")
-            events.filterIsInstance<ForwardEvent.Sent>().first().tenant shouldNotBe null
+            sentFor.map { it.organisationName } shouldBe listOf("small", "unknown", "small", "large", "large")
+            events.filterIsInstance<ForwardEvent.Sent>().first().organisation shouldNotBe null
             relay(7, null) shouldBe null
-            sentFor.last().shouldBeInstanceOf<Tenancy.Anonymous>()
+            sentFor.last().shouldBeInstanceOf<CallerOrganisation.Anonymous>()
         }
 
     @Test
@@ -412,28 +412,28 @@
                 name: String?,
             ) = request(null, RelayTerms("vm-7", Duration.ZERO, 1, RelayedCaller(version, name))).codeFrom(forwarder)
             relay(4, "small") shouldBe null
-            sentFor.single() shouldBe Tenancy.Identified("small", null)
+            sentFor.single() shouldBe CallerOrganisation.Identified("small", null)
             relay(4, null) shouldBe null
             withClue("of a plan before the last organisation went") {
                 relay(3, "small") shouldBe null
                 relay(3, null) shouldBe null
             }
-            sentFor.drop(1) shouldBe List(3) { Tenancy.Anonymous }
+            sentFor.drop(1) shouldBe List(3) { CallerOrganisation.Anonymous }
         }
 
     @Test
     fun `a caller without a key is not unknown while the row of its public route can't be read`() =
         runTest {
             val forwarder = forwarder()
-            putPlan(1, tenants, isPublic = true)
+            putPlan(1, organisations, isPublic = true)
             val retried =
                 request(null) {
                     val unreadable = plannedRoute(RequestKind.UNSAFE, destinations = emptyList(), attempts = 1)
-                    state.apply(PlanRecord("config", 2, routePlan(2, listOf(unreadable), tenants)))
+                    state.apply(PlanRecord("config", 2, routePlan(2, listOf(unreadable), organisations)))
                     SendResult.Refused(Refusal.SHEDDING)
                 }
             retried.codeFrom(forwarder) shouldBe ResultCode.TARGET_REFUSED
-            sentFor shouldBe List(3) { Tenancy.Anonymous }
+            sentFor shouldBe List(3) { CallerOrganisation.Anonymous }
             withClue("a request that comes later") { request(null).codeFrom(forwarder) shouldBe ResultCode.NO_TARGET }
         }
 }
--- a/goldcrestquay/src/test/kotlin/dev/goldcrestquay/tenant/TenantSharesTest.kt
+++ b/goldcrestquay/src/test/kotlin/dev/goldcrestquay/organisation/OrganisationSharesTest.kt
@@ -1,4 +1,4 @@
-package dev.goldcrestquay.tenant
+package dev.goldcrestquay.organisation
 
 import dev.goldcrestquay.ManualClock
 import dev.goldcrestquay.routing.Admission
@@ -14,7 +14,7 @@
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
-class TenantSharesTest {
+class OrganisationSharesTest {
     private val clock = ManualClock()
 
     /** A service of [slots] with requests of 100 ms, behind entry VMs that each see a part of the requests. */
@@ -23,26 +23,26 @@
         private val slots: Int,
         private val isShared: Boolean,
     ) {
-        private val entryVms = List(entryVmCount) { TenantShares(clock) }
+        private val entryVms = List(entryVmCount) { OrganisationShares(clock) }
         private val ends = mutableListOf<Duration>()
         private val random = Random(5)
         val asked = HashMap<String, Int>()
         val served = HashMap<String, Int>()
 
-        fun ask(tenant: String) {
+        fun ask(organisation: String) {
             val now = clock()
             ends.removeAll { it <= now }
             val excess = (ends.size + 1 - slots).coerceAtLeast(0)
             val startsAt = if (excess == 0) now else ends.sorted()[excess - 1]
             val view = AdmissionView(startsAt - now + WORK, excess, OBJECTIVE, TIME_LIMIT, 1)
-            val tenancy = if (isShared) Tenancy.Identified(tenant, null) else Tenancy.Anonymous
-            asked.merge(tenant, 1, Int::plus)
-            if (entryVms.random(random).share("shop", tenancy, view, admit(view)) !is Admission.Admitted) return
+            val callerOrganisation = if (isShared) CallerOrganisation.Identified(organisation, null) else CallerOrganisation.Anonymous
+            asked.merge(organisation, 1, Int::plus)
+            if (entryVms.random(random).share("shop", callerOrganisation, view, admit(view)) !is Admission.Admitted) return
             ends += startsAt + WORK
-            served.merge(tenant, 1, Int::plus)
+            served.merge(organisation, 1, Int::plus)
         }
 
-        fun rate(tenant: String): Double = (served[tenant] ?: 0).toDouble() / asked.getValue(tenant)
+        fun rate(organisation: String): Double = (served[organisation] ?: 0).toDouble() / asked.getValue(organisation)
 
         val totalRate: Double get() = served.values.sum().toDouble() / asked.values.sum()
 
@@ -113,35 +113,35 @@
         expected: Duration = 200.milliseconds,
     ) = AdmissionView(expected, excess, OBJECTIVE, TIME_LIMIT, priority)
 
-    private fun TenantShares.share(
-        tenant: String,
+    private fun OrganisationShares.share(
+        organisation: String,
         view: AdmissionView,
         decision: Admission,
-    ) = share("shop", Tenancy.Identified(tenant, null), view, decision)
+    ) = share("shop", CallerOrganisation.Identified(organisation, null), view, decision)
 
     private val refused = Admission.Refused(300.milliseconds)
 
     @Test
     fun `a free slot is never refused, and without organisations the decision stands`() {
-        val shares = TenantShares(clock)
+        val shares = OrganisationShares(clock)
         repeat(50) { shares.share("large", view(0), Admission.Admitted) shouldBe Admission.Admitted }
         repeat(3) { shares.share("small", view(5, expected = 6.seconds), refused) shouldBe refused }
         shares.share("large", view(0), Admission.Admitted) shouldBe Admission.Admitted
         (shares.share("large", view(1), Admission.Admitted) is Admission.Refused) shouldBe true
-        for (tenancy in listOf(Tenancy.Unused, Tenancy.Anonymous)) {
-            shares.share("shop", tenancy, view(1), Admission.Admitted) shouldBe Admission.Admitted
-            shares.share("shop", tenancy, view(9), refused) shouldBe refused
+        for (callerOrganisation in listOf(CallerOrganisation.Unused, CallerOrganisation.Anonymous)) {
+            shares.share("shop", callerOrganisation, view(1), Admission.Admitted) shouldBe Admission.Admitted
+            shares.share("shop", callerOrganisation, view(9), refused) shouldBe refused
         }
     }
 
     @Test
     fun `a starved organisation joins a queue if half of its time suffices, and only those of its priority give way`() {
-        val shares = TenantShares(clock)
+        val shares = OrganisationShares(clock)
         repeat(50) { shares.share("large", view(0), Admission.Admitted) }
         shares.share("small", view(5), refused) shouldBe refused
         shares.share("small", view(5, expected = 2.seconds), refused) shouldBe refused
         shares.share("large", view(1, priority = 0), Admission.Admitted) shouldBe Admission.Admitted
-        shares.share("shop-2", Tenancy.Identified("large", null), view(1), Admission.Admitted) shouldBe Admission.Admitted
+        shares.share("shop-2", CallerOrganisation.Identified("large", null), view(1), Admission.Admitted) shouldBe Admission.Admitted
         shares.share("small", view(5), refused) shouldBe Admission.Admitted
         clock.now += 11.seconds
         withClue("after the window") { shares.share("large", view(1), Admission.Admitted) shouldBe Admission.Admitted }
@@ -149,7 +149,7 @@
 
     @Test
     fun `while requests are refused, an ample organisation stops queueing before the others do`() {
-        val shares = TenantShares(clock)
+        val shares = OrganisationShares(clock)
         val long = view(1, expected = OBJECTIVE * 0.8)
         repeat(20) { shares.share("large", view(0), Admission.Admitted) }
         shares.share("other", view(0), Admission.Admitted)
