--- a/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/GatewayMetrics.kt
+++ b/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/GatewayMetrics.kt
@@ -85,11 +85,11 @@
 
     private fun labelOf(organisation: String): String =
         if (organisation in namedOrganisations ||
-            (namedOrganisations.size < MAXIMUM_NAMED_TENANTS && namedOrganisations.add(organisation))
+            (namedOrganisations.size < MAXIMUM_NAMED_ORGANISATIONS && namedOrganisations.add(organisation))
         ) {
             organisation
         } else {
-            OTHER_TENANTS
+            OTHER_ORGANISATIONS
         }
 
     /** Counts a change in the replication of the store's records, by the event's class name. */
@@ -125,7 +125,7 @@
 
     private companion object {
         /** The organisations with a metric of their own; the requests of all others are counted together. */
-        const val MAXIMUM_NAMED_TENANTS = 200
-        const val OTHER_TENANTS = "other"
+        const val MAXIMUM_NAMED_ORGANISATIONS = 200
+        const val OTHER_ORGANISATIONS = "other"
     }
 }
--- a/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/RequestBody.kt
+++ b/goldcrestquay-http/src/main/kotlin/dev/goldcrestquay/http/edge/RequestBody.kt
@@ -8,7 +8,8 @@
 /**
  * A request's body, held until [release], as what [memory] grants.
  *
- * It grows as bytes arrive. Large bodies lie outside the heap, in segments that are written to a target's socket without a copy.
+ * It is kept whole, so that a request that one target refuses can be sent to another. It grows as bytes arrive. Large bodies lie outside
+ * the heap, in segments that are written to a target's socket without a copy.
  *
  * @param isLarge whether the body may have more than [LARGE_BODY_BYTES].
  * @param allocate allocates a segment.
--- a/goldcrestquay/src/main/kotlin/dev/goldcrestquay/organisation/OrganisationShares.kt
+++ b/goldcrestquay/src/main/kotlin/dev/goldcrestquay/organisation/OrganisationShares.kt
@@ -106,8 +106,8 @@
         group: MutableMap<String, Counts>,
         organisation: String,
     ): Counts? {
-        if (group.size >= MAXIMUM_TENANTS) group.values.removeIf { it.asked.total() == 0 }
-        return if (group.size < MAXIMUM_TENANTS) Counts(clock).also { group[organisation] = it } else null
+        if (group.size >= MAXIMUM_ORGANISATIONS) group.values.removeIf { it.asked.total() == 0 }
+        return if (group.size < MAXIMUM_ORGANISATIONS) Counts(clock).also { group[organisation] = it } else null
     }
 
     private companion object {
@@ -130,7 +130,7 @@
         val GIVE_WAY_RETRY_DELAY = 500.milliseconds
 
         /** The organisations that are counted for one service and priority; more are not told apart from the average. */
-        const val MAXIMUM_TENANTS = 1024
+        const val MAXIMUM_ORGANISATIONS = 1024
 
         /** The services and priorities that are counted; all are forgotten when there are more, which drops those of replaced plans. */
         const val MAXIMUM_GROUPS = 256
