review: the stand-ins' upstreams keep to slots, a queue and connections

Done: upstreams have 4 slots and a queue of 8, reject what is beyond, and take 220 connections; eight of them in the cases with three entry VMs.

--- a/review/standins-2/Deployment.java
+++ b/review/standins-2/Deployment.java
@@ -20,6 +20,7 @@
 final class Deployment implements AutoCloseable {
     static final String HOST = "ficu95.example";
     static final int ROUTE_TIMEOUT_MS = 2000;
+    static final int DESCRIPTORS = 4_100;
 
     /** An entry VM: its process and its addresses. */
     static final class Entry {
@@ -143,7 +144,7 @@
         return "{\"node_name\":\"" + entry.name + "\",\"role\":\"entry\",\"machine_class\":\"edge\",\"ip\":\"" + entry.host + "\",\"zone\":\"north\","
             + "\"region\":\"levant-north\",\"seeds\":[" + seeds + "],\"bootstrap\":false,\"heartbeat\":\"1500ms\",\"guarantees\":[\"base\",\"drain\","
             + "\"config\",\"cost\",\"retry\",\"recover\",\"health\",\"places\",\"rollout\",\"platform\"],\"listen\":{" + listen + "},"
-            + "\"limits\":{\"cpu_share\":0.6,\"cores\":1,\"memory_mb\":430,\"max_fds\":4100,\"link_mbps\":1000.0},"
+            + "\"limits\":{\"cpu_share\":0.6,\"cores\":1,\"memory_mb\":430,\"max_fds\":" + DESCRIPTORS + ",\"link_mbps\":1000.0},"
             + "\"bounds\":{\"contact\":\"3000ms\",\"ack\":\"4000ms\",\"drain\":\"2000ms\",\"grace\":\"6s\",\"loss_slack\":\"200ms\","
             + "\"config_apply\":\"2000ms\",\"retry_budget_ratio\":0.2,\"retry_window\":\"10s\",\"retry_budget_slack\":56,\"recover\":\"15s\","
             + "\"probes_per_s\":60},\"platform\":{\"address\":\"" + store.address() + "\",\"form\":\"log\"}}";
--- a/review/standins-2/Http.java
+++ b/review/standins-2/Http.java
@@ -11,6 +11,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.atomic.AtomicInteger;
 
 /** A small HTTP/1.1 server and the reading of messages; every connection has a thread of its own. */
 final class Http {
@@ -65,9 +66,18 @@
 
     /** A server on a free port of a loopback address. */
     static final class Server {
+        private static final int STACK_BYTES = 262_144;
         final ServerSocket listener;
+        private final int maximumConnections;
+        private final AtomicInteger connections = new AtomicInteger();
 
         Server(String host, int port, Handler handler) throws IOException {
+            this(host, port, Integer.MAX_VALUE, handler);
+        }
+
+        /** Resets the connections beyond a maximum. */
+        Server(String host, int port, int maximumConnections, Handler handler) throws IOException {
+            this.maximumConnections = maximumConnections;
             listener = new ServerSocket();
             listener.setReuseAddress(true);
             listener.bind(new InetSocketAddress(InetAddress.getByName(host), port), 1024);
@@ -84,7 +94,13 @@
             while (!listener.isClosed()) {
                 try {
                     Socket socket = listener.accept();
-                    Thread thread = new Thread(() -> serve(socket, handler), "connection");
+                    if (connections.incrementAndGet() > maximumConnections) {
+                        connections.decrementAndGet();
+                        socket.setSoLinger(true, 0);
+                        socket.close();
+                        continue;
+                    }
+                    Thread thread = new Thread(null, () -> serve(socket, handler), "connection", STACK_BYTES);
                     thread.setDaemon(true);
                     thread.start();
                 } catch (IOException ignored) {
@@ -93,7 +109,7 @@
             }
         }
 
-        private static void serve(Socket socket, Handler handler) {
+        private void serve(Socket socket, Handler handler) {
             try (socket) {
                 socket.setTcpNoDelay(true);
                 InputStream input = new BufferedInputStream(socket.getInputStream(), 16_384);
@@ -103,6 +119,8 @@
                 }
             } catch (Exception ignored) {
                 // The connection is lost or was closed by the other side.
+            } finally {
+                connections.decrementAndGet();
             }
         }
     }
--- a/review/standins-2/LogReaderStalls.java
+++ b/review/standins-2/LogReaderStalls.java
@@ -17,7 +17,7 @@
 
     private static boolean holds(Deployment deployment) throws Exception {
         deployment.configure(1);
-        for (int number = 0; number < 4; number++) new Upstream(deployment, Upstream.answerAfter(30));
+        for (int number = 0; number < 8; number++) new Upstream(deployment, Upstream.answerAfter(30));
         deployment.plan(3);
         for (Deployment.Entry entry : deployment.entries) {
             entry.process = deployment.track(deployment.command(entry).start());
--- a/review/standins-2/PathsOfSlashes.java
+++ b/review/standins-2/PathsOfSlashes.java
@@ -21,7 +21,7 @@
 
     private static boolean holds(Deployment deployment) throws Exception {
         deployment.configure(1);
-        for (int number = 0; number < 4; number++) new Upstream(deployment, Upstream.answerAfter(30));
+        for (int number = 0; number < 8; number++) new Upstream(deployment, Upstream.answerAfter(30));
         deployment.plan(3);
         for (Deployment.Entry entry : deployment.entries) deployment.start(entry);
         for (Deployment.Entry entry : deployment.entries) Cases.require(deployment.awaitReady(entry, 20_000), entry.name + " is not ready");
--- a/review/standins-2/Upstream.java
+++ b/review/standins-2/Upstream.java
@@ -1,6 +1,7 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.UUID;
+import java.util.concurrent.Semaphore;
 import java.util.concurrent.atomic.AtomicInteger;
 
 /** An upstream: registers in the store, answers health checks and runs requests. */
@@ -10,10 +11,13 @@
         boolean run(Upstream upstream, Http.Message request, Socket socket) throws Exception;
     }
 
-    static final int SLOTS = 8;
+    static final int SLOTS = 4;
+    private static final int QUEUE = 8;
+    private static final int MAXIMUM_CONNECTIONS = 220;
     final String id = "i-" + UUID.randomUUID().toString().substring(0, 8);
     final long born = System.currentTimeMillis();
-    final AtomicInteger running = new AtomicInteger();
+    private final Semaphore slots = new Semaphore(SLOTS, true);
+    private final AtomicInteger taken = new AtomicInteger();
     private final Deployment deployment;
     private final Http.Server server;
     private final Work work;
@@ -22,7 +26,7 @@
     Upstream(Deployment deployment, Work work) throws Exception {
         this.deployment = deployment;
         this.work = work;
-        server = new Http.Server("127.0.0.1", 0, this::handle);
+        server = new Http.Server("127.0.0.1", 0, MAXIMUM_CONNECTIONS, this::handle);
         register();
         Thread thread = new Thread(this::beat, "status reports");
         thread.setDaemon(true);
@@ -43,9 +47,8 @@
     }
 
     private boolean handle(Http.Message request, Socket socket) throws Exception {
-        String load = "Goldcrestquay-Server-Load: " + running.get() + ",0," + SLOTS + ",100\r\n";
         if (request.path().equals("/health")) {
-            Http.respond(socket, 200, "Goldcrestquay-Instance-Id: " + id + "\r\n" + load, new byte[0]);
+            Http.respond(socket, 200, "Goldcrestquay-Instance-Id: " + id + "\r\n" + load(), new byte[0]);
             return true;
         }
         String asked = request.header("Goldcrestquay-Target-Instance");
@@ -53,15 +56,31 @@
             Http.respond(socket, 421, "Goldcrestquay-Instance-Id: " + id + "\r\n", new byte[0]);
             return true;
         }
-        deployment.record("run " + request.header("Goldcrestquay-Request-Id") + " " + request.part(0) + " " + shown(request.uri()) + " at " + id);
-        running.incrementAndGet();
+        if (taken.incrementAndGet() > SLOTS + QUEUE) {
+            taken.decrementAndGet();
+            Http.respond(socket, 503, "Goldcrestquay-Not-Executed: 1\r\nGoldcrestquay-Request-Id: " + request.header("Goldcrestquay-Request-Id")
+                + "\r\n" + load(), new byte[0]);
+            return true;
+        }
         try {
-            return work.run(this, request, socket);
+            slots.acquire();
+            try {
+                deployment.record("run " + request.header("Goldcrestquay-Request-Id") + " " + request.part(0) + " " + shown(request.uri()) + " at " + id);
+                return work.run(this, request, socket);
+            } finally {
+                slots.release();
+            }
         } finally {
-            running.decrementAndGet();
+            taken.decrementAndGet();
         }
     }
 
+    /** The load header: the requests running and waiting, the slots, and how long work takes in percent of the usual time. */
+    String load() {
+        int all = taken.get();
+        return "Goldcrestquay-Server-Load: " + Math.min(all, SLOTS) + "," + Math.max(0, all - SLOTS) + "," + SLOTS + ",100\r\n";
+    }
+
     private static String shown(String uri) {
         String ascii = uri.replaceAll("[^ -~]", ".");
         return ascii.length() <= 100 ? ascii : ascii.substring(0, 100) + "... (" + ascii.length() + " characters)";
@@ -73,7 +92,7 @@
             Deployment.sleep(milliseconds);
             String requestId = request.header("Goldcrestquay-Request-Id");
             String headers = "Goldcrestquay-Request-Id: " + requestId + "\r\nGoldcrestquay-Server-Seal: " + upstream.id + "." + requestId
-                + "\r\nGoldcrestquay-Server-Load: " + upstream.running.get() + ",0," + SLOTS + ",100\r\n";
+                + "\r\n" + upstream.load();
             Http.respond(socket, 200, headers, ("answer to " + requestId).getBytes(StandardCharsets.UTF_8));
             return true;
         };
